--- /dev/null
+++ b/appledock/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the core and the outside systems."""
--- /dev/null
+++ b/appledock/adapters/users.py
@@ -0,0 +1,67 @@
+"""HTTP requests of users, workers, probes and operators, as commands."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+import msgspec
+
+from appledock import wire
+from appledock.core import events as ev
+
+_SPEC = msgspec.json.Decoder(wire.JobSpec)
+_REPORT = msgspec.json.Decoder(wire.Report)
+_ID = re.compile(r"\Ajob-[0-9]{1,18}\Z")
+ADMIN = "/admin/v1/"
+
+
+class Refused(Exception):
+    """Answered without the engine."""
+
+    def __init__(self, status: int, error: str, headers: dict[str, str] | None = None) -> None:
+        super().__init__(error)
+        self.status, self.error, self.headers = status, error, headers
+
+
+def command(ask: int, method: str, path: str, body: bytes) -> ev.Cmd:
+    """The command that a request stands for; raises Refused."""
+    if path == wire.PATH_REPORT:
+        _only(method, "POST")
+        return ev.Reported(ask, _decode(_REPORT, body))
+    if path == wire.PATH_HEALTH:
+        _only(method, "GET")
+        return ev.Health(ask)
+    if path == wire.PATH_JOBS:
+        _only(method, "POST")
+        return ev.Submit(ask, _decode(_SPEC, body))
+    if path.startswith(wire.PATH_JOBS + "/"):
+        rest = path[len(wire.PATH_JOBS) + 1:]
+        job, slash, action = rest.partition("/")
+        if slash and action != "cancel":
+            raise Refused(404, "no such path")
+        _only(method, "POST" if slash else "GET")
+        if not _ID.match(job):
+            raise Refused(404, "no such job")
+        return ev.Cancel(ask, job) if slash else ev.Poll(ask, job)
+    if path.startswith(ADMIN):
+        payload: Any = None
+        if body:
+            try:
+                payload = msgspec.json.decode(body)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                raise Refused(400, f"not JSON: {error}") from None
+        return ev.Admin(ask, method, tuple(path[len(ADMIN):].strip("/").split("/")), payload)
+    raise Refused(404, "no such path")
+
+
+def _only(method: str, allowed: str) -> None:
+    if method != allowed:
+        raise Refused(405, f"only {allowed} is allowed here", {"Allow": allowed})
+
+
+def _decode(decoder: msgspec.json.Decoder[Any], body: bytes) -> Any:
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise Refused(400, str(error)) from None
--- /dev/null
+++ b/appledock/adapters/workers.py
@@ -0,0 +1,58 @@
+"""Workers: commands and questions sent straight to their addresses."""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+
+import msgspec
+
+from appledock import wire
+from appledock.core.events import WorkerCall, WorkerReply
+from appledock.net.http import Client, NoAnswer, NotSent
+from appledock.settings import split_address
+
+log = logging.getLogger(__name__)
+
+CLIENTS_MAX = 400
+"""connections kept to workers"""
+
+
+class WorkerCalls:
+    """One connection to each worker, one call at a time on it."""
+
+    def __init__(self) -> None:
+        self.clients: OrderedDict[str, Client] = OrderedDict()
+
+    def _client(self, addr: str) -> Client:
+        client = self.clients.get(addr)
+        if client is None:
+            client = self.clients[addr] = Client(*split_address(addr), most=1)
+            if len(self.clients) > CLIENTS_MAX:
+                self.clients.popitem(last=False)[1].close()
+        else:
+            self.clients.move_to_end(addr)
+        return client
+
+    async def run(self, call: WorkerCall) -> WorkerReply:
+        try:
+            client = self._client(call.addr)
+            if call.orders is None:
+                status, body = await client.request("GET", wire.PATH_SHOW, b"", call.timeout)
+            else:
+                status, body = await client.request(
+                    "POST", wire.PATH_ORDERS, wire.encode(call.orders), call.timeout)
+            if status not in (200, 409):
+                log.error("worker %s answered %d: %s", call.addr, status, body[:200])
+                return WorkerReply(call.tag, "unknown")
+            report = msgspec.json.decode(body, type=wire.Report)
+            return WorkerReply(call.tag, "ok" if status == 200 else "stale", report)
+        except (NotSent, ValueError) as error:
+            if isinstance(error, msgspec.DecodeError | UnicodeDecodeError):
+                log.error("malformed answer of worker %s: %s", call.addr, error)
+                return WorkerReply(call.tag, "unknown")
+            log.info("worker %s: %s", call.addr, error)
+            return WorkerReply(call.tag, "not_sent")
+        except NoAnswer as error:
+            log.info("worker %s: %s", call.addr, error)
+            return WorkerReply(call.tag, "unknown")
--- /dev/null
+++ b/appledock/app.py
@@ -0,0 +1,122 @@
+"""Wires the core to sockets and clocks: one queue, one owner, one process."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import random
+import time
+
+from appledock import constants as c
+from appledock import wire
+from appledock.adapters import users
+from appledock.adapters.cloud import Cloud
+from appledock.adapters.store import Store
+from appledock.adapters.workers import WorkerCalls
+from appledock.core import events as ev
+from appledock.core.engine import Engine
+from appledock.net.http import Answer, Server
+from appledock.net.peers import PeerLink, PeerServer, frame
+from appledock.settings import Settings, split_address
+
+log = logging.getLogger(__name__)
+
+
+class App:
+    """One controller."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        rng = random.Random()
+        self.engine = Engine(settings, f"{rng.getrandbits(48):012x}", rng)
+        self.queue: list[ev.Cmd] = []
+        self.scheduled = False
+        self.answers: dict[int, Answer] = {}
+        self.asked = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.store = Store(*split_address(settings.external.state))
+        self.cloud = Cloud(*split_address(settings.external.cloud))
+        self.workers = WorkerCalls()
+        self.links = {peer.name: PeerLink(peer.name, *split_address(peer.address),
+                                          opened=lambda name: self.push(ev.PeerOpened(name)))
+                      for peer in settings.peers}
+
+    async def run(self) -> None:
+        """Serve until the process is killed."""
+        server = Server(self._request, self.settings.cluster.limits.fd_limit - c.FD_RESERVE)
+        await server.start(*split_address(self.settings.listen))
+        await self.loop.create_server(
+            lambda: PeerServer(lambda message: self.push(ev.PeerMessage(message))),
+            *split_address(self.settings.peer_listen), reuse_address=True)
+        for link in self.links.values():
+            self._spawn(link.run())
+        log.info("%s listens on %s", self.settings.name, self.settings.listen)
+        gc.freeze()
+        self.push(ev.Tick())
+        while True:
+            await asyncio.sleep(c.TICK_S)
+            self.push(ev.Tick())
+
+    def push(self, command: ev.Cmd) -> None:
+        """Queue a command; the whole queue is worked through as one batch."""
+        self.queue.append(command)
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self._work)
+
+    def _work(self) -> None:
+        self.scheduled = False
+        batch, self.queue = self.queue, []
+        for effect in self.engine.handle(batch, self.loop.time(), time.time()):
+            self._carry_out(effect)
+
+    def _request(self, method: str, path: str, query: str, body: bytes, answer: Answer) -> None:
+        self.asked += 1
+        try:
+            command = users.command(self.asked, method, path, body)
+        except users.Refused as refused:
+            answer(refused.status, wire.encode({"error": refused.error}), refused.headers)
+            return
+        self.answers[self.asked] = answer
+        self.push(command)
+
+    def _carry_out(self, effect: ev.Effect) -> None:
+        match effect:
+            case ev.Reply():
+                answer = self.answers.pop(effect.ask, None)
+                if answer is not None:
+                    answer(effect.status, wire.encode(effect.body), effect.headers)
+            case ev.StoreCall():
+                self._spawn(self._store(effect))
+            case ev.CloudCall():
+                self._spawn(self._cloud(effect))
+            case ev.WorkerCall():
+                self._spawn(self._worker(effect))
+            case ev.PeerSend():
+                payload = frame(wire.encode(effect.message))
+                for name, link in self.links.items():
+                    if effect.to is None or effect.to == name:
+                        link.send(payload)
+            case ev.SetLogLevel():
+                logging.getLogger().setLevel(effect.level.upper())
+
+    async def _store(self, call: ev.StoreCall) -> None:
+        self.push(await self.store.run(call))
+
+    async def _cloud(self, call: ev.CloudCall) -> None:
+        self.push(await self.cloud.run(call))
+
+    async def _worker(self, call: ev.WorkerCall) -> None:
+        self.push(await self.workers.run(call))
+
+    def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+        task = self.loop.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("task failed", exc_info=task.exception())
--- /dev/null
+++ b/appledock/constants.py
@@ -0,0 +1,155 @@
+"""Every constant of the service, with its unit and the reason for its value."""
+
+# --- Membership -----------------------------------------------------------
+GRANT_S = 10.0
+"""s; lease of a controller. The paper's (Kafka's default) grace period."""
+TOUCH_EVERY_S = 2.0
+"""s; lease renewal and view confirmation. Five tries fit into one lease."""
+TOUCH_RETRY_S = 0.4
+"""s; pause after a refused renewal: an outage must not eat the request budget."""
+CLOCK_DRIFT = 0.001
+"""ratio; twice the protocol's 0.05 %, since two clocks may drift apart."""
+AUTHORITY_MARGIN_S = 0.3
+"""s; time kept back from the lease for timers that fire late on a busy core."""
+LAPSE_MARGIN_S = 0.5
+"""s; added to a worker's lease before its session counts as lapsed."""
+VIEW_JITTER_S = 0.3
+"""s; members that do not lead wait up to this long, so that one view wins."""
+OVERRIDE_AFTER_S = 5.0
+"""s; a worker that keeps coming to a non-owner this long is moved to it."""
+OVERRIDE_MIN_TRIES = 3
+"""count; redirects after which a worker counts as unable to reach its owner."""
+TERM_BUMP_AFTER_S = 6.0
+"""s; a stopped attempt never seen on its worker this long asks for a new term,
+which makes a launch still in flight harmless. Well below every `cancel_s`."""
+TERM_BUMP_EVERY_S = 10.0
+"""s; least pause between two views taken only to raise the term."""
+
+# --- State service --------------------------------------------------------
+KEY_ROOT = "ad/"
+"""prefix of all keys, so that one watch sees every change in order."""
+STORE_TIMEOUT_S = 1.5
+"""s; a call without an answer by then has an unknown outcome."""
+FOLLOW_BLOCK_MS = 10_000
+"""ms; how long a watch waits on the state service."""
+FOLLOW_TIMEOUT_S = 15.0
+"""s; a watch without an answer by then is opened anew."""
+FOLLOW_PAUSE_S = 0.08
+"""s; pause between watches: bounds them to about 12 requests a second."""
+LIST_LIMIT = 500
+"""rows; page of a listing."""
+BUDGET_SHARE = 0.95
+"""ratio; part of the state service's limits that the controllers plan to use."""
+TXN_BYTES = 60_000
+"""bytes; the protocol allows 64 KiB; the rest is for headers and escapes."""
+VALUE_SLACK = 0.85
+"""ratio; part of `value_kb` that a record may fill before no task is added."""
+CALL_QUEUE_MAX = 400
+"""calls; beyond it new calls to the state service are refused at once."""
+RETRY_MIN_S = 0.15
+RETRY_MAX_S = 1.0
+"""s; jittered pause before a failed write is decided anew."""
+
+# --- Users ----------------------------------------------------------------
+BODY_MAX = 65_536
+"""bytes; the protocol's limit for a request body."""
+HEADER_MAX = 16_384
+"""bytes; a request head beyond this is malformed."""
+SLOW_PEER_S = 10.0
+"""s; a request not complete by then is given up and its connection closed."""
+IDLE_PEER_S = 120.0
+"""s; an idle connection is closed."""
+FD_RESERVE = 100
+"""sockets; kept for our own calls below the platform's limit."""
+REQUEST_DEADLINE_S = 1.6
+"""s; a user's request not answered by the state service by then gets 503.
+Users wait 2 s for a poll."""
+RETRY_AFTER_S = 1
+"""s; what refused users are told: the shortest pause the protocol allows."""
+PENDING_USERS_MAX = 300
+"""requests; beyond it users are refused at once with Retry-After."""
+PROOF_EVERY_S = 0.1
+"""s; polls waiting for a proof of currency are gathered this long."""
+PROOF_MAX = 40
+"""conditions; checked in one compare-only transaction."""
+FINAL_CACHE = 50_000
+"""entries; final states kept in memory."""
+
+# --- Steps ----------------------------------------------------------------
+STEP_TASKS = 100
+"""tasks; size of a step, the design's starting value."""
+PROGRESS_EVERY_S = 1.5
+"""s; finished tasks are recorded this often if nothing more urgent is due."""
+LAUNCH_AGAIN_S = 1.0
+"""s; a launch not seen in a report by then is sent again."""
+HALT_AGAIN_S = 1.5
+"""s; a stop that shows no effect by then is sent again."""
+ORDERS_TIMEOUT_S = 3.0
+"""s; a command sent straight to a worker without an answer is uncertain."""
+SHOW_AFTER_S = 6.0
+"""s; a worker not heard of this long is asked directly by a job's owner."""
+SHOW_EVERY_S = 3.0
+"""s; pause between such questions."""
+STOP_RESERVE_S = 5.0
+"""s; part of `cancel_s` left for the second stop, with no grace."""
+ERROR_BACKOFF_S = 2.0
+ERROR_BACKOFF_MAX_S = 30.0
+"""s; first and longest pause of a job whose tasks fail."""
+ERRORS_OF_JOBS = 2
+"""jobs; a machine on which this many different jobs fail is set aside."""
+
+# --- Placement ------------------------------------------------------------
+QUEUE_EVERY_S = 0.1
+"""s; pause between two passes over the queue."""
+SAMPLE = 8
+"""machines; looked at for each task, the design's starting value."""
+EPSILON = 1e-6
+"""cores; tolerance of decimal sums."""
+
+# --- Fleet ----------------------------------------------------------------
+LIST_EVERY_S = 2.0
+"""s; how often the leader reads the machine list."""
+TYPES_EVERY_S = 30.0
+"""s; how often machine types and prices are read again."""
+CLOUD_TIMEOUT_S = 4.0
+"""s; a call to the cloud without an answer has an unknown outcome."""
+FLEET_EVERY_S = 0.5
+"""s; pause between two fleet decisions."""
+RENT_MAX = 50
+DELETE_MAX = 100
+"""machines; the protocol's limits for one request."""
+NO_CAPACITY_S = 6.0
+"""s; a type refused by the cloud is not asked for again before."""
+IDLE_RETURN_S = 20.0
+"""s; an idle machine beyond the headroom is kept this long."""
+MIN_CHARGE_S = 60.0
+"""s; every machine costs at least this, so returning it sooner saves nothing."""
+BOOT_LATE = 3.0
+"""ratio of boot time after which a machine is replaced and deleted."""
+BOOT_LATE_MIN_S = 20.0
+"""s; no machine counts as late before."""
+CORDON_S = 1.0
+"""s; a machine is cordoned this long and still empty before it is deleted."""
+SILENT_DELETE_S = 1e9
+"""s; a machine silent this long is deleted."""
+LOST_AFTER_S = 30.0
+"""s; a rented machine neither listed nor heard of is forgotten after this
+plus twice the list lag."""
+HEADROOM_WINDOW_S = 120.0
+"""s; time over which arrivals of services are counted for the headroom."""
+
+# --- Peers ----------------------------------------------------------------
+PEER_FRAME_MAX = 1_000_000
+"""bytes; a longer netstring closes the link."""
+PEER_RETRY_S = 1.0
+"""s; pause before a lost link is dialled again."""
+PEER_RESEND_S = 5.0
+"""s; unchanged worker pictures are sent again this often."""
+PEER_BUFFER_MAX = 2_000_000
+"""bytes; a link whose peer does not read is dropped beyond this."""
+
+# --- Process --------------------------------------------------------------
+TICK_S = 0.05
+"""s; how often the engine looks at its timers."""
+CONNECT_TIMEOUT_S = 1.0
+"""s; a machine without power never refuses, it only stays silent."""
--- /dev/null
+++ b/appledock/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core without I/O: commands in, effects out; time and chance are handed in."""
--- /dev/null
+++ b/appledock/core/engine.py
@@ -0,0 +1,347 @@
+"""The one owner of all state: takes commands in batches, gives effects back."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import events as ev
+from appledock.core.admin import AdminApi
+from appledock.core.budget import Bucket, Budget, Priority, Waiting
+from appledock.core.fleet import Fleet
+from appledock.core.jobs import Job, split_task
+from appledock.core.membership import Membership
+from appledock.core.placement import Room
+from appledock.core.replica import FINAL, LIVE, Replica, View
+from appledock.core.requests import Requests
+from appledock.core.steps import Steps
+from appledock.core.workers import Worker, Workers
+from appledock.settings import Settings
+
+log = logging.getLogger(__name__)
+
+
+class Engine:
+    """Owns replica, membership, workers, steps, fleet and requests."""
+
+    def __init__(self, settings: Settings, incarnation: str, rng: random.Random) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.rng = rng
+        self.now = 0.0
+        """s, steady clock"""
+        self.wall = 0.0
+        """s, time of day"""
+        self.effects: list[ev.Effect] = []
+        self.loaded = False
+        self.loading = False
+        self.next_load = 0.0
+        self.watching = False
+        self.next_watch = 0.0
+        self.queue_dirty = True
+        self.value_bytes = int(settings.cluster.state.value_kb * 1024 * c.VALUE_SLACK)
+        self.teams = {team.name: team for team in settings.cluster.teams}
+        self.types: dict[str, wire.MachineType] = {}
+        self.acted_view: View | None = None
+        self.tag = 0
+        self.callbacks: dict[int, Callable[[Any], None]] = {}
+        share = c.BUDGET_SHARE / settings.cluster.size
+        self.budget = Budget(Bucket(settings.cluster.state.rps * share),
+                             Bucket(settings.cluster.state.write_rps * share))
+        self.replica = Replica()
+        self.membership = Membership(self)
+        self.workers = Workers(self)
+        self.steps = Steps(self)
+        self.fleet = Fleet(self)
+        self.requests = Requests(self)
+        self.admin = AdminApi(self)
+
+    # --- commands in, effects out -----------------------------------------
+    def handle(self, batch: list[ev.Cmd], now: float, wall: float) -> list[ev.Effect]:
+        """Work through a batch; `now` is the steady clock, `wall` the time of day."""
+        self.now, self.wall = now, wall
+        if self.tag == 0:
+            self.workers.start_bound = now + c.GRANT_S
+            self.tag = 1
+        for command in batch:
+            try:
+                self._one(command)
+            except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
+                # Bad input must never end the process.
+                log.exception("command %s failed: %s", type(command).__name__, error)
+                ask = getattr(command, "ask", None)
+                if ask is not None:
+                    self.requests.open.pop(ask, None)
+                    self.emit(ev.Reply(ask, 500, {"error": "internal error"}))
+        self._after()
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _one(self, cmd: ev.Cmd) -> None:
+        match cmd:
+            case ev.Reported():
+                self.workers.on_report(cmd.ask, cmd.report)
+            case ev.StoreReply() | ev.CloudReply() | ev.WorkerReply():
+                callback = self.callbacks.pop(cmd.tag, None)
+                if callback is not None:
+                    callback(cmd)
+            case ev.Poll():
+                self.requests.poll(cmd)
+            case ev.Submit():
+                self.requests.submit(cmd)
+            case ev.Cancel():
+                self.requests.cancel(cmd)
+            case ev.Health():
+                good = self.healthy()
+                self.emit(ev.Reply(cmd.ask, 200 if good else 503, {"healthy": good}))
+            case ev.PeerMessage():
+                self._peer(cmd.message)
+            case ev.PeerOpened():
+                self.workers.greet(cmd.name)
+                self.fleet.greet(cmd.name)
+            case ev.Admin():
+                self.admin.request(cmd)
+            case ev.Tick():
+                self._tick()
+
+    def _peer(self, message: dict[str, Any]) -> None:
+        kind = message.get("kind")
+        if kind in ("worker", "lapsed", "gone"):
+            self.workers.on_peer(message)
+        elif kind in ("rented", "cordon"):
+            self.fleet.on_peer(message)
+
+    def _tick(self) -> None:
+        if not self.loaded and not self.loading and self.now >= self.next_load:
+            self._load()
+        if self.loaded and not self.watching and self.now >= self.next_watch:
+            self._watch()
+        self.membership.tick()
+        self.workers.tick()
+        self.fleet.tick()
+        self.requests.tick()
+
+    def _after(self) -> None:
+        """What follows from a batch: new view, changed records, due calls."""
+        replica = self.replica
+        if replica.view_changed:
+            replica.view_changed = False
+            view = replica.view
+            assert view is not None
+            self.workers.on_view(self.acted_view)
+            self.membership.on_view()
+            self.acted_view = view
+            self.queue_dirty = True
+        if replica.settings_changed:
+            replica.settings_changed = False
+            self.admin.apply()
+        if replica.changed_jobs:
+            for job_id in replica.changed_jobs:
+                self.workers.job_changed(job_id)
+                self.steps.dirty.add(job_id)
+            replica.changed_jobs.clear()
+            self.queue_dirty = True
+        self.fleet.read_catalogue()
+        self.steps.tick()
+        self.workers.flush_orders()
+        self._drain()
+
+    def emit(self, effect: ev.Effect) -> None:
+        self.effects.append(effect)
+
+    def healthy(self) -> bool:
+        return self.loaded and self.membership.joined
+
+    # --- calls ------------------------------------------------------------
+    def call(self, make: Callable[[int], ev.Effect], done: Callable[[Any], None]) -> None:
+        """Emit a call whose answer goes to `done`."""
+        self.tag += 1
+        self.callbacks[self.tag] = done
+        self.emit(make(self.tag))
+
+    def store(self, op: str, args: tuple[Any, ...], priority: Priority,
+              done: Callable[[ev.StoreReply], None], patience: float = 3.0) -> bool:
+        """Queue a call to the state service; `done` is called in any case."""
+        writes = len(args[0].writes) if op == "txn" else 0
+        timeout = c.FOLLOW_TIMEOUT_S if op == "watch" else c.STORE_TIMEOUT_S
+        queued = self.budget.add(priority, Waiting(op, args, writes, timeout, done,
+                                                   self.now + patience))
+        if not queued:
+            done(ev.StoreReply(0, "refused"))
+        return queued
+
+    def _drain(self) -> None:
+        send, expired = self.budget.due(self.now)
+        for call in send:
+            self.call(lambda tag, call=call: ev.StoreCall(  # type: ignore[misc]
+                tag, call.op, call.args, call.timeout), call.done)
+        for call in expired:
+            call.done(ev.StoreReply(0, "refused"))
+
+    def read_keys(self, keys: list[str], then: Callable[[], None] | None = None,
+                  failed: Callable[[], None] | None = None) -> None:
+        """Read keys afresh into the replica, then go on; `failed` if one cannot be read."""
+        left = len(keys)
+        bad = False
+
+        def read(key: str) -> None:
+            def done(reply: ev.StoreReply) -> None:
+                nonlocal left, bad
+                left -= 1
+                if reply.outcome == "ok":
+                    self.replica.put(key, reply.data.value, reply.data.version)
+                elif reply.outcome == "missing":
+                    self.replica.drop(key, reply.data.revision)
+                else:
+                    bad = True
+                if left == 0:
+                    callback = failed if bad else then
+                    if callback is not None:
+                        callback()
+
+            self.store("get", (key,), Priority.USER, done)
+
+        for key in keys:
+            read(key)
+        if not keys and then is not None:
+            then()
+
+    # --- picture of the state service -------------------------------------
+    def _load(self) -> None:
+        """Read everything live, then follow it from the first page's revision."""
+        self.loading = True
+        rows: list[wire.Row] = []
+        first: list[int] = []
+
+        def page(after: str | None) -> None:
+            def done(reply: ev.StoreReply) -> None:
+                if reply.outcome != "ok":
+                    self.loading = False
+                    self.next_load = self.now + c.RETRY_MIN_S + self.rng.random() * 0.3
+                    return
+                rows.extend(reply.data.items)
+                first.append(reply.data.revision)
+                if reply.data.more and reply.data.items:
+                    page(reply.data.items[-1].key)
+                    return
+                self.replica.load(rows, first[0])
+                self.loading, self.loaded = False, True
+                self.next_watch = self.now
+                log.info("loaded %d records at revision %d", len(rows), first[0])
+                self.membership.tick()
+
+            self.store("list", (LIVE, after, c.LIST_LIMIT), Priority.LEASE, done)
+
+        page(None)
+
+    def _watch(self) -> None:
+        self.watching = True
+
+        def done(reply: ev.StoreReply) -> None:
+            self.watching = False
+            self.next_watch = self.now + c.FOLLOW_PAUSE_S
+            if reply.outcome == "ok":
+                for event in reply.data.events:
+                    if event.put is not None:
+                        known = event.put.startswith(FINAL)
+                        if not known or event.put[len(FINAL):] in self.replica.jobs:
+                            self.replica.put(event.put, event.value, event.version)
+                    elif event.delete is not None:
+                        self.replica.drop(event.delete, event.version)
+                self.replica.advance(reply.data.revision)
+            elif reply.outcome == "gone":
+                log.warning("watch too old; reading everything again")
+                self.loaded = False
+            else:
+                self.next_watch = self.now + c.RETRY_MIN_S + self.rng.random() * 0.2
+
+        self.store("watch", (c.KEY_ROOT, self.replica.revision, c.FOLLOW_BLOCK_MS),
+                   Priority.VIEW, done)
+
+    # --- shared questions -------------------------------------------------
+    def owns_job(self, job: Job) -> bool:
+        return (self.replica.view is not None
+                and self.replica.job_owner(job) == self.settings.name)
+
+    def running(self, job: Job) -> int:
+        """Tasks that reports show as running, for display."""
+        count = 0
+        for attempt in job.attempts:
+            worker = self.workers.table.get(attempt.machine)
+            if worker is not None:
+                for task in attempt.tasks:
+                    entry = worker.tasks.get((f"{job.id}/{task}", attempt.number))
+                    count += entry is not None and entry.state == wire.RUNNING
+        return count
+
+    def note_final(self, job: Job, state: str) -> None:
+        log.info("%s is %s", job.id, state)
+
+    def zone_of(self, machine: str) -> str | None:
+        worker = self.workers.table.get(machine)
+        if worker is not None and worker.report is not None:
+            return worker.report.zone
+        listed = self.fleet.listed.get(machine)
+        return listed.zone if listed is not None else None
+
+    def placeable(self, worker: Worker) -> bool:
+        """May steps be placed on the worker's machine?"""
+        report = worker.report
+        return (report is not None and report.type in self.types and not worker.cordoned
+                and worker.id not in self.workers.gone and report.session > worker.lapsed
+                and report.notice_s is None
+                and self.now - worker.heard_at <= 2.5 * self.settings.cluster.workers.report_s)
+
+    def rooms(self) -> list[Room]:
+        """Free room on every machine that may take steps."""
+        result = []
+        reserved: dict[str, list[tuple[wire.JobSpec, int]]] = {}
+        for entries in self.steps.reserved.values():
+            for machine, spec, count in entries:
+                reserved.setdefault(machine, []).append((spec, count))
+        for name in sorted(self.workers.table):
+            worker = self.workers.table[name]
+            if self.placeable(worker):
+                room = self._room(worker)
+                for spec, count in reserved.get(name, ()):
+                    room.take(spec, count)
+                result.append(room)
+        return result
+
+    def _room(self, worker: Worker) -> Room:
+        report = worker.report
+        assert report is not None
+        kind = self.types[report.type]
+        fetching: set[str] = set()
+        room = Room(worker.id, kind, report.zone, report.spot, report.session, kind.cpus,
+                    kind.gpus, kind.memory_gb, set(worker.images), fetching,
+                    self.replica.owner_of(worker.id), len(worker.failed_jobs))
+        for job_id in self.replica.by_machine.get(worker.id, ()):
+            job = self.replica.jobs[job_id]
+            for attempt in job.attempts:
+                if attempt.machine != worker.id or attempt.session != report.session:
+                    continue
+                for task in attempt.tasks:
+                    entry = worker.tasks.get((f"{job_id}/{task}", attempt.number))
+                    if entry is None or entry.state != wire.EXITED:
+                        room.take(job.spec)
+                        if job.spec.image not in room.images and (
+                                entry is None or entry.state == wire.FETCHING):
+                            fetching.add(job.spec.image)
+        for (name, number), shown in worker.tasks.items():
+            if shown.state != wire.EXITED and not self._recorded(worker.id, name, number):
+                room.cpus = room.memory_gb = -1.0  # a stray of unknown size
+        return room
+
+    def _recorded(self, machine: str, task: str, number: int) -> bool:
+        job_id, index = split_task(task)
+        job = self.replica.jobs.get(job_id)
+        return job is not None and any(
+            a.machine == machine and a.number == number and index in a.tasks
+            for a in job.attempts)
--- /dev/null
+++ b/appledock/core/fleet.py
@@ -0,0 +1,459 @@
+"""The machines: what to rent and return. Decided by the leader alone."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement, quota
+from appledock.core.budget import Priority
+from appledock.core.events import CloudCall, CloudReply, PeerSend, Put, StoreReply, TxnPlan
+from appledock.core.jobs import Job
+from appledock.core.placement import Room
+from appledock.core.replica import CATALOGUE
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+Kind = tuple[str, str, bool]
+"""type, zone, spot"""
+
+
+@dataclass(slots=True)
+class Rental:
+    """A machine rented but perhaps neither listed nor heard of yet."""
+
+    kind: Kind
+    at: float
+
+
+@dataclass(slots=True)
+class Renting:
+    """A rental request under way; repeated under the same name until answered."""
+
+    name: str
+    kind: Kind
+    count: int
+    tries: int = 0
+    at: float = 0.0
+
+
+@dataclass(slots=True)
+class Returning:
+    """A machine on its way out: cordoned, then deleted if still empty."""
+
+    since: float
+    why: str
+    force: bool = False
+    """delete even if it is not empty or does not answer"""
+    calling: bool = False
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Rents, watches and returns machines."""
+
+    e: Engine
+    listed: dict[str, wire.Machine] = field(default_factory=dict)
+    listed_at: float = -1e9
+    rentals: dict[str, Rental] = field(default_factory=dict)
+    renting: list[Renting] = field(default_factory=list)
+    returning: dict[str, Returning] = field(default_factory=dict)
+    refused: dict[Kind, float] = field(default_factory=dict)
+    """kinds without capacity -> when to ask again"""
+    counter: int = 0
+    cloud_pause: float = 0.0
+    next_list: float = 0.0
+    next_types: float = 0.0
+    next_plan: float = 0.0
+    listing: bool = False
+    reading_types: bool = False
+    read_version: int = -1
+    led: bool = False
+
+    # --- timers -----------------------------------------------------------
+    def tick(self) -> None:
+        now = self.e.now
+        if not self.e.loaded:
+            return
+        leader = self.e.membership.leader()
+        if leader and not self.led:
+            self.next_list = now
+            self.returning.clear()
+        self.led = leader
+        if now < self.cloud_pause:
+            return
+        if (leader or not self.e.types) and now >= self.next_types and not self.reading_types:
+            self._read_types()
+        if not leader:
+            return
+        if now >= self.next_list and not self.listing:
+            self._list()
+        for request in self.renting:
+            if now >= request.at:
+                self._rent(request)
+        if now >= self.next_plan and self.e.types:
+            self.next_plan = now + c.FLEET_EVERY_S
+            self._plan()
+            self._return()
+
+    def _trouble(self) -> None:
+        """429 or outage: back off, with jitter against a herd."""
+        self.cloud_pause = self.e.now + 0.5 + self.e.rng.random()
+
+    # --- machine types ----------------------------------------------------
+    def read_catalogue(self) -> None:
+        """Types last seen by any controller, so that an outage of the cloud
+        does not keep a restarted controller from deciding."""
+        version, types = self.e.replica.catalogue
+        if version == self.read_version:
+            return
+        self.read_version = version
+        try:
+            kinds = [msgspec.convert(kind, wire.MachineType) for kind in types]
+        except msgspec.ValidationError as error:
+            log.error("malformed catalogue: %s", error)
+            return
+        for kind in kinds:
+            self.e.types.setdefault(kind.name, kind)
+
+    def _read_types(self) -> None:
+        self.reading_types = True
+
+        def done(reply: CloudReply) -> None:
+            self.reading_types = False
+            self.next_types = self.e.now + c.TYPES_EVERY_S
+            if reply.outcome != "ok":
+                self.next_types = self.e.now + 1.0 + self.e.rng.random()
+                self._trouble()
+                return
+            before = self._shape(self.e.types.values())
+            self.e.types = {kind.name: kind for kind in reply.data.types}
+            self.e.queue_dirty = True
+            stored = {kind["hull"]: kind for kind in self.e.replica.catalogue[1]
+                      if isinstance(kind, dict) and "hull" in kind}
+            if (self._shape(reply.data.types) != before or not stored) and (
+                    self.e.membership.leader()):
+                self._store_types()
+
+        self.e.call(lambda tag: CloudCall(tag, "types", (), c.CLOUD_TIMEOUT_S), done)
+
+    @staticmethod
+    def _shape(types: Any) -> list[Any]:
+        """Everything but the prices, which move all the time."""
+        return sorted((k.name, k.cpus, k.gpus, k.memory_gb, k.boot_s, tuple(k.zones))
+                      for k in types)
+
+    def _store_types(self) -> None:
+        version = self.e.replica.catalogue[0]
+        value = {"types": [msgspec.to_builtins(kind) for kind in self.e.types.values()]}
+        if len(wire.encode(value)) > self.e.value_bytes:
+            return
+
+        def done(reply: StoreReply) -> None:
+            if reply.outcome == "ok":
+                self.e.replica.put(CATALOGUE, value, reply.data.revision)
+            else:
+                self.next_types = min(self.next_types, self.e.now + 5.0)
+
+        self.e.store("txn", (TxnPlan({CATALOGUE: version}, [Put(CATALOGUE, value)]),),
+                     Priority.PROGRESS, done)
+
+    # --- machine list -----------------------------------------------------
+    def _list(self) -> None:
+        self.listing = True
+        found: dict[str, wire.Machine] = {}
+
+        def page(after: str | None) -> None:
+            def done(reply: CloudReply) -> None:
+                if reply.outcome != "ok":
+                    self.listing = False
+                    self.next_list = self.e.now + c.LIST_EVERY_S
+                    self._trouble()
+                    return
+                found.update((m.id, m) for m in reply.data.machines)
+                if reply.data.more and reply.data.machines:
+                    page(reply.data.machines[-1].id)
+                    return
+                self.listing = False
+                self.next_list = self.e.now + c.LIST_EVERY_S
+                self._listed(found)
+
+            self.e.call(lambda tag: CloudCall(tag, "list", (after, 500), c.CLOUD_TIMEOUT_S), done)
+
+        page(None)
+
+    def _listed(self, found: dict[str, wire.Machine]) -> None:
+        """The list lags: a missing row proves nothing, a failed machine is gone."""
+        now = self.e.now
+        self.listed, self.listed_at = found, now
+        failed = [name for name, machine in found.items()
+                  if machine.state == wire.FAILED and name not in self.e.workers.gone]
+        if failed:
+            self.announce_gone(failed)
+        for name, machine in found.items():
+            if machine.state == wire.FAILED and name not in self.returning:
+                self.returning[name] = Returning(now - c.CORDON_S, "failed", True)
+        lost = c.LOST_AFTER_S + 2 * self.e.settings.cluster.cloud.list_lag_s
+        for name in [n for n, r in self.rentals.items()
+                     if n in self.e.workers.table or now - r.at > lost
+                     or n in self.e.workers.gone]:
+            if name in found or name in self.e.workers.table or now - self.rentals[name].at > lost:
+                del self.rentals[name]
+
+    def announce_gone(self, machines: list[str]) -> None:
+        self.e.workers.set_gone(machines)
+        self.e.emit(PeerSend({"kind": "gone", "machines": machines}))
+        self.e.queue_dirty = True
+
+    # --- renting ----------------------------------------------------------
+    def booting(self) -> dict[str, tuple[Kind, float]]:
+        """Machines paid for whose workers have not reported -> kind and age."""
+        now = self.e.now
+        result = {}
+        for name, rental in self.rentals.items():
+            if not self._heard(name) and name not in self.e.workers.gone:
+                result[name] = (rental.kind, now - rental.at)
+        for name, machine in self.listed.items():
+            if (machine.state != wire.FAILED and not self._heard(name)
+                    and name not in self.e.workers.gone):
+                age = machine.age_s + now - self.listed_at
+                result[name] = ((machine.type, machine.zone, machine.spot), age)
+        return result
+
+    def _heard(self, name: str) -> bool:
+        worker = self.e.workers.table.get(name)
+        return worker is not None and worker.report is not None
+
+    def _late(self, kind: wire.MachineType | None) -> float:
+        return max(c.BOOT_LATE_MIN_S, c.BOOT_LATE * (kind.boot_s if kind else 30.0))
+
+    def _plan(self) -> None:
+        """Place the queue on what is up and booting; rent for what is left."""
+        e = self.e
+        rooms = e.rooms()
+        for name, (kind, age) in self.booting().items():
+            type_ = e.types.get(kind[0])
+            if type_ is not None and name not in self.returning and age < self._late(type_) / 2:
+                rooms.append(_empty(name, type_, kind))
+        for request in self.renting:
+            type_ = e.types.get(request.kind[0])
+            if type_ is not None:
+                rooms += [_empty(f"{request.name}/{i}", type_, request.kind)
+                          for i in range(request.count)]
+        wanted: dict[Kind, int] = {}
+        for job, tasks in self._demand():
+            placed = placement.place(job.spec, tasks, rooms, e.rng, {}, False, 1_000_000)
+            left = tasks - sum(count for _, count in placed)
+            while left > 0:
+                cheapest = self._cheapest(job.spec, left)
+                if cheapest is None:
+                    break
+                room = _empty(f"new/{len(rooms)}", e.types[cheapest[0]], cheapest)
+                fit = min(left, room.count(job.spec))
+                room.take(job.spec, fit)
+                left -= fit
+                rooms.append(room)
+                wanted[cheapest] = wanted.get(cheapest, 0) + 1
+        for kind, count in wanted.items():
+            self._new_rent(kind, min(count, c.RENT_MAX))
+
+    def _demand(self) -> list[tuple[Job, int]]:
+        """Queued tasks that their teams' limits admit, most urgent first."""
+        e = self.e
+        held: dict[str, quota.Amounts] = {}
+        result = []
+        jobs = [job for job in e.replica.jobs.values() if job.queued > 0]
+        for job in sorted(jobs, key=e.steps.urgency):
+            limits = e.teams.get(job.spec.team)
+            if limits is None or not any(placement.type_fits(job.spec, kind)
+                                         for kind in e.types.values()):
+                continue
+            if job.failures >= 3:
+                continue  # a job that fails everywhere is not worth machines
+            used = held.get(job.spec.team)
+            if used is None:
+                used = quota.Amounts(*e.replica.team(job.spec.team).used())
+            free = quota.Amounts(limits.cpus_max - used.cpus, limits.gpus_max - used.gpus)
+            tasks = min(job.queued, 4 * c.RENT_MAX)
+            while tasks and not quota.need(job.spec, tasks).fits(free):
+                tasks -= 1
+            if tasks:
+                more = quota.need(job.spec, tasks)
+                held[job.spec.team] = quota.Amounts(used.cpus + more.cpus, used.gpus + more.gpus)
+                result.append((job, tasks))
+        return result
+
+    def _cheapest(self, spec: wire.JobSpec, tasks: int) -> Kind | None:
+        """The kind that costs least per task, among those not refused lately."""
+        best: tuple[float, Kind] | None = None
+        for type_ in self.e.types.values():
+            if not placement.type_fits(spec, type_):
+                continue
+            for zone in type_.zones:
+                if spec.zone is not None and zone != spec.zone:
+                    continue
+                for spot in ((True, False) if spec.spot else (False,)):
+                    kind = (type_.name, zone, spot)
+                    if self.refused.get(kind, 0.0) > self.e.now:
+                        continue
+                    fit = min(tasks, _empty("", type_, kind).count(spec))
+                    price = (type_.spot_price if spot else type_.price) / max(1, fit)
+                    if best is None or (price, kind) < best:
+                        best = (price, kind)
+        return best[1] if best else None
+
+    def _new_rent(self, kind: Kind, count: int) -> None:
+        self.counter += 1
+        # Never used twice, by nobody: term, incarnation and a counter.
+        name = f"r-{self.e.membership.term}-{self.e.membership.incarnation}-{self.counter}"
+        request = Renting(name, kind, count)
+        self.renting.append(request)
+        self._rent(request)
+
+    def _rent(self, request: Renting) -> None:
+        request.at = 1e18
+        request.tries += 1
+        body = wire.Rent(request.name, *request.kind, count=request.count)
+
+        def done(reply: CloudReply) -> None:
+            if reply.outcome == "unknown" and request.tries < 4:
+                request.at = self.e.now + 0.5 + self.e.rng.random()
+                return
+            self.renting.remove(request)
+            if reply.outcome == "ok":
+                log.info("rented %s: %s", request.kind, reply.data.machines)
+                self._rented(list(reply.data.machines), request.kind)
+                self.e.emit(PeerSend({"kind": "rented", "machines": reply.data.machines,
+                                      "type": list(request.kind)}))
+                if len(reply.data.machines) < request.count:
+                    self.refused[request.kind] = self.e.now + c.NO_CAPACITY_S
+            elif reply.outcome == "full":
+                log.info("no capacity for %s", request.kind)
+                self.refused[request.kind] = self.e.now + c.NO_CAPACITY_S
+                self.next_plan = self.e.now
+            else:
+                self._trouble()
+
+        self.e.call(lambda tag: CloudCall(tag, "rent", (body,), c.CLOUD_TIMEOUT_S), done)
+
+    def _rented(self, machines: list[str], kind: Kind) -> None:
+        for name in machines:
+            self.rentals[name] = Rental(kind, self.e.now)
+
+    # --- returning --------------------------------------------------------
+    def empty(self, name: str) -> bool:
+        """No open attempt is recorded there, and no task shows in its report."""
+        if name in self.e.replica.by_machine:
+            return False
+        worker = self.e.workers.table.get(name)
+        if worker is None or worker.report is None:
+            return True
+        reserved = any(machine == name for entries in self.e.steps.reserved.values()
+                       for machine, _, _ in entries)
+        return not reserved and all(t.state == wire.EXITED for t in worker.report.tasks)
+
+    def _return(self) -> None:
+        e, now = self.e, self.e.now
+        for name, (kind, age) in self.booting().items():
+            if age > self._late(e.types.get(kind[0])) and name not in self.returning:
+                log.warning("%s has not come up within %.0f s", name, age)
+                self.returning[name] = Returning(now - c.CORDON_S, "never came up", True)
+        for name, worker in e.workers.table.items():
+            if name in self.returning or worker.report is None or name in e.workers.gone:
+                continue
+            if (worker.idle_since and now - worker.idle_since > c.IDLE_RETURN_S
+                    and now - worker.heard_at < 5.0 and self.empty(name)):
+                self._cordon(name, "idle")
+            elif worker.lapsed >= worker.session and now - worker.heard_at > c.SILENT_DELETE_S:
+                self.returning[name] = Returning(now - c.CORDON_S, "silent", True)
+        ready = []
+        for name, item in list(self.returning.items()):
+            if item.calling or now < item.since + c.CORDON_S:
+                continue
+            if not item.force and not self.empty(name):
+                del self.returning[name]
+                self._uncordon(name)
+                continue
+            ready.append(name)
+        if ready:
+            self._delete(ready[:c.DELETE_MAX])
+
+    def _cordon(self, name: str, why: str) -> None:
+        self.returning[name] = Returning(self.e.now, why)
+        self.e.workers.get(name).cordoned = why
+        self.e.emit(PeerSend({"kind": "cordon", "worker": name, "why": why}))
+
+    def _uncordon(self, name: str) -> None:
+        worker = self.e.workers.table.get(name)
+        if worker is not None:
+            worker.cordoned = ""
+        self.e.emit(PeerSend({"kind": "cordon", "worker": name, "why": ""}))
+
+    def _delete(self, names: list[str]) -> None:
+        for name in names:
+            self.returning[name].calling = True
+
+        def done(reply: CloudReply) -> None:
+            for name in names:
+                item = self.returning.get(name)
+                if item is not None:
+                    item.calling = False
+            if reply.outcome == "ok":
+                log.info("deleted %s", {name: self.returning[name].why for name in names
+                                        if name in self.returning})
+                for name in names:
+                    self.returning.pop(name, None)
+                    self.rentals.pop(name, None)
+                    self.listed.pop(name, None)
+                self.announce_gone(names)
+            else:
+                self._trouble()
+
+        self.e.call(lambda tag: CloudCall(tag, "delete", (names,), c.CLOUD_TIMEOUT_S), done)
+
+    # --- from others ------------------------------------------------------
+    def task_failed(self, machine: str, job: str) -> None:
+        """Machines on which different jobs fail are set aside and returned."""
+        worker = self.e.workers.table.get(machine)
+        if worker is None:
+            return
+        worker.failed_jobs.add(job)
+        if len(worker.failed_jobs) >= c.ERRORS_OF_JOBS and not worker.cordoned:
+            log.warning("%s set aside: tasks of %s failed", machine, sorted(worker.failed_jobs))
+            worker.cordoned = "faulty"
+            self.e.emit(PeerSend({"kind": "cordon", "worker": machine, "why": "faulty"}))
+
+    def arrived(self, job: Job) -> None:
+        """A job was accepted here."""
+
+    def on_peer(self, message: dict[str, Any]) -> None:
+        if message["kind"] == "rented":
+            type_, zone, spot = message["type"]
+            self._rented([str(name) for name in message["machines"]],
+                         (str(type_), str(zone), bool(spot)))
+        elif message["kind"] == "cordon":
+            worker = self.e.workers.table.get(str(message["worker"]))
+            if worker is not None:
+                worker.cordoned = str(message["why"])
+                self.e.queue_dirty = True
+
+    def greet(self, name: str) -> None:
+        """A link opened: the peer may lead soon and must know our rentals."""
+        kinds: dict[Kind, list[str]] = {}
+        for machine, rental in self.rentals.items():
+            kinds.setdefault(rental.kind, []).append(machine)
+        for kind, machines in kinds.items():
+            self.e.emit(PeerSend({"kind": "rented", "machines": machines, "type": list(kind)},
+                                 name))
+
+
+def _empty(name: str, type_: wire.MachineType, kind: Kind) -> Room:
+    return Room(name, type_, kind[1], kind[2], 0, type_.cpus, type_.gpus, type_.memory_gb)
--- /dev/null
+++ b/appledock/core/intervals.py
@@ -0,0 +1,81 @@
+"""Compact sets of task numbers."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Iterable, Iterator
+
+
+class IntervalSet:
+    """Sorted, disjoint, closed intervals of integers; written `0-5,7,9-12`."""
+
+    __slots__ = ("_lows", "_highs", "size")
+
+    def __init__(self, numbers: Iterable[int] = ()) -> None:
+        self._lows: list[int] = []
+        self._highs: list[int] = []
+        self.size = 0
+        for number in numbers:
+            self.add(number)
+
+    @classmethod
+    def parse(cls, text: str) -> IntervalSet:
+        result = cls()
+        for part in text.split(",") if text else ():
+            low, _, high = part.partition("-")
+            first, last = int(low), int(high or low)
+            if last < first or (result._highs and first <= result._highs[-1]):
+                raise ValueError(f"intervals out of order: {text[:80]}")
+            result._lows.append(first)
+            result._highs.append(last)
+            result.size += last - first + 1
+        return result
+
+    def __str__(self) -> str:
+        return ",".join(str(low) if low == high else f"{low}-{high}"
+                        for low, high in zip(self._lows, self._highs, strict=True))
+
+    def __len__(self) -> int:
+        return self.size
+
+    def __contains__(self, number: int) -> bool:
+        place = bisect_right(self._lows, number) - 1
+        return place >= 0 and number <= self._highs[place]
+
+    def __iter__(self) -> Iterator[int]:
+        for low, high in zip(self._lows, self._highs, strict=True):
+            yield from range(low, high + 1)
+
+    def add(self, number: int) -> None:
+        place = bisect_right(self._lows, number)
+        if place and number <= self._highs[place - 1]:
+            return
+        self.size += 1
+        joins_left = place > 0 and self._highs[place - 1] == number - 1
+        joins_right = place < len(self._lows) and self._lows[place] == number + 1
+        if joins_left and joins_right:
+            self._highs[place - 1] = self._highs[place]
+            del self._lows[place], self._highs[place]
+        elif joins_left:
+            self._highs[place - 1] = number
+        elif joins_right:
+            self._lows[place] = number
+        else:
+            self._lows.insert(place, number)
+            self._highs.insert(place, number)
+
+    def gaps(self, total: int) -> Iterator[tuple[int, int]]:
+        """Closed intervals of 0..total-1 that are not in the set."""
+        start = 0
+        for low, high in zip(self._lows, self._highs, strict=True):
+            if low > start:
+                yield start, low - 1
+            start = high + 1
+        if start < total:
+            yield start, total - 1
+
+    def copy(self) -> IntervalSet:
+        other = IntervalSet()
+        other._lows, other._highs = self._lows[:], self._highs[:]
+        other.size = self.size
+        return other
--- /dev/null
+++ b/appledock/core/jobs.py
@@ -0,0 +1,120 @@
+"""Job records: what the state service keeps of one open job."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from appledock import wire
+from appledock.core.intervals import IntervalSet
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Tasks of one step that went to one machine together."""
+
+    machine: str
+    session: int
+    number: int
+    term: int
+    stopping: bool
+    tasks: set[int]
+
+    def same(self, other: Attempt) -> bool:
+        return (self.machine, self.session, self.number, self.term, self.stopping) == (
+            other.machine, other.session, other.number, other.term, other.stopping)
+
+
+@dataclass(slots=True)
+class Job:
+    """One open job as recorded, at the version of its key."""
+
+    spec: wire.JobSpec
+    submitted: float
+    """time of day, s"""
+    version: int = 0
+    steps: int = 0
+    """number of the last step; it is also the attempt number of its tasks"""
+    done: IntervalSet = field(default_factory=IntervalSet)
+    attempts: list[Attempt] = field(default_factory=list)
+    cancelled: bool = False
+    handoff: tuple[str, str] | None = None
+    """node and incarnation that the job was handed to"""
+    failures: int = 0
+    """errors since a task last completed"""
+
+    @property
+    def id(self) -> str:
+        return self.spec.id
+
+    @property
+    def open_tasks(self) -> int:
+        return sum(len(attempt.tasks) for attempt in self.attempts)
+
+    @property
+    def queued(self) -> int:
+        if self.cancelled:
+            return 0
+        return self.spec.tasks - len(self.done) - self.open_tasks
+
+    def queued_tasks(self, limit: int) -> list[int]:
+        """The first tasks that are neither done nor open."""
+        open_tasks = {task for attempt in self.attempts for task in attempt.tasks}
+        result: list[int] = []
+        for low, high in self.done.gaps(self.spec.tasks):
+            for task in range(low, high + 1):
+                if task not in open_tasks:
+                    result.append(task)
+                    if len(result) >= limit:
+                        return result
+        return result
+
+    def copy(self) -> Job:
+        return Job(self.spec, self.submitted, self.version, self.steps, self.done.copy(),
+                   [Attempt(a.machine, a.session, a.number, a.term, a.stopping, set(a.tasks))
+                    for a in self.attempts],
+                   self.cancelled, self.handoff, self.failures)
+
+    def deadline(self) -> float:
+        """Time of day by which the job should be complete; far away without one."""
+        if self.spec.deadline_s is None:
+            return self.submitted + 1e9
+        return self.submitted + self.spec.deadline_s
+
+    def encode(self) -> dict[str, Any]:
+        record: dict[str, Any] = {
+            "spec": {name: value for name, value in msgspec.structs.asdict(self.spec).items()
+                     if value is not None},
+            "at": round(self.submitted, 3), "steps": self.steps}
+        if self.done:
+            record["done"] = str(self.done)
+        if self.attempts:
+            record["open"] = [[a.machine, a.session, a.number, a.term, int(a.stopping),
+                               str(IntervalSet(sorted(a.tasks)))] for a in self.attempts]
+        if self.cancelled:
+            record["cancelled"] = True
+        if self.handoff:
+            record["to"] = list(self.handoff)
+        if self.failures:
+            record["failures"] = self.failures
+        return record
+
+
+def decode(record: dict[str, Any], version: int) -> Job:
+    """The job of a record; raises ValueError, KeyError or TypeError if malformed."""
+    handoff = record.get("to")
+    return Job(
+        wire.JobSpec(**record["spec"]), float(record["at"]), version, int(record["steps"]),
+        IntervalSet.parse(record.get("done", "")),
+        [Attempt(machine, session, number, term, bool(stopping), set(IntervalSet.parse(tasks)))
+         for machine, session, number, term, stopping, tasks in record.get("open", ())],
+        bool(record.get("cancelled", False)),
+        (handoff[0], handoff[1]) if handoff else None, int(record.get("failures", 0)))
+
+
+def split_task(name: str) -> tuple[str, int]:
+    """`job-1/3` as job id and number; another form belongs to no job."""
+    job, _, number = name.rpartition("/")
+    return job, int(number) if number.isdigit() else -1
--- /dev/null
+++ b/appledock/core/membership.py
@@ -0,0 +1,288 @@
+"""Lease, view and authority of this controller.
+
+Authority is the right to answer workers. It lasts for one lease counted from
+the moment the last successful renewal *and* the last read of the view were
+sent, less drift and margin, so it ends before the state service can remove the
+member key, and within one lease of any newer view.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock.core.budget import Priority
+from appledock.core.events import Put, StoreReply, TxnPlan
+from appledock.core.replica import MEMBERS, VIEW, View
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+LEASE_LOCAL_S = c.GRANT_S * (1 - c.CLOCK_DRIFT) - c.AUTHORITY_MARGIN_S
+
+
+class Membership:
+    """Joins, renews, confirms and changes the view."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.node = engine.settings.name
+        self.generation = 0
+        self.incarnation = ""
+        self.lease: int | None = None
+        self.joined = False
+        self.joining = False
+        self.next_join = 0.0
+        self.touch_sent = -1e9
+        self.view_sent = -1e9
+        self.next_touch = 0.0
+        self.touching = False
+        self.confirming = False
+        self.next_view = 0.0
+        self.changing = False
+        self.want_term = False
+        self.want_override: dict[str, str] = {}
+        self.term_at = -1e9
+        self.acting_term = 0
+        """term last processed by the engine (see Engine.on_view)"""
+
+    # --- state ------------------------------------------------------------
+    @property
+    def view(self) -> View | None:
+        return self.e.replica.view
+
+    @property
+    def term(self) -> int:
+        return self.view.term if self.view else 0
+
+    def member(self) -> bool:
+        return (self.joined and self.view is not None
+                and self.view.members.get(self.node) == self.incarnation)
+
+    def authority(self) -> bool:
+        """May this controller act for the controllers right now?"""
+        return (self.member()
+                and self.e.now < min(self.touch_sent, self.view_sent) + LEASE_LOCAL_S)
+
+    def acting(self) -> bool:
+        """Authority, and a picture that is complete up to the view."""
+        return self.authority() and self.e.replica.synced
+
+    def leader(self) -> bool:
+        return self.acting() and self.view is not None and self.view.leader == self.node
+
+    def conditions(self) -> dict[str, int]:
+        """What every scheduling write is conditional on: a fenced or outvoted
+        controller's writes fail by themselves."""
+        assert self.view is not None
+        return {VIEW: self.view.version,
+                MEMBERS + self.node: self.e.replica.members[self.node].version}
+
+    # --- timers -----------------------------------------------------------
+    def tick(self) -> None:
+        now = self.e.now
+        if not self.e.loaded:
+            return
+        if not self.joined:
+            if not self.joining and now >= self.next_join:
+                self._join()
+            return
+        if now >= self.next_touch and not self.touching:
+            self._touch()
+        self._check_view()
+
+    def _retry_join(self) -> None:
+        self.joining = False
+        self.next_join = self.e.now + c.TOUCH_RETRY_S * (0.5 + self.e.rng.random())
+
+    def _join(self) -> None:
+        self.joining = True
+        self.generation += 1
+        self.incarnation = f"{self.e.incarnation}.{self.generation}"
+        sent = self.e.now
+
+        def granted(reply: StoreReply) -> None:
+            if reply.outcome != "ok":
+                self._retry_join()
+                return
+            self.lease = reply.data.lease
+            self.touch_sent = sent
+            self._read_self()
+
+        self.e.store("grant", (int(c.GRANT_S * 1000),), Priority.LEASE, granted)
+
+    def _read_self(self) -> None:
+        """Reads predecessor and view afresh, then joins in one transaction.
+
+        Several controllers starting at once conflict here; each conflict is one
+        controller's success, so reading again ends after a few rounds.
+        """
+        def read(reply: StoreReply) -> None:
+            if reply.outcome not in ("ok", "missing"):
+                self._retry_join()
+                return
+            if reply.outcome == "ok":
+                self.e.replica.put(VIEW, reply.data.value, reply.data.version)
+            self.e.store("get", (MEMBERS + self.node,), Priority.LEASE, read_member)
+
+        def read_member(reply: StoreReply) -> None:
+            if reply.outcome not in ("ok", "missing"):
+                self._retry_join()
+                return
+            old = reply.data if reply.outcome == "ok" else None
+            if old is None:
+                self.e.replica.members.pop(self.node, None)
+            self._commit_join(old.version if old else 0,
+                              old.value.get("lease") if old else None)
+
+        self.e.store("get", (VIEW,), Priority.LEASE, read)
+
+    def _commit_join(self, old_version: int, old_lease: int | None) -> None:
+        """Takes the member key and a new view together. A predecessor on this
+        node is dead (a node runs one process), so its lease is not waited for."""
+        view = self.view
+        members = {node: m.incarnation for node, m in self.e.replica.members.items()
+                   if node != self.node}
+        members[self.node] = self.incarnation
+        new = self._next_view(members)
+        lease = self.lease
+        value = {"incarnation": self.incarnation, "lease": lease}
+        plan = TxnPlan({MEMBERS + self.node: old_version, VIEW: view.version if view else 0},
+                       [Put(MEMBERS + self.node, value, lease), Put(VIEW, new.encode())])
+        sent = self.e.now
+
+        def done(reply: StoreReply) -> None:
+            if reply.outcome == "ok":
+                revision = reply.data.revision
+                self.joining, self.joined = False, True
+                self.e.replica.put(MEMBERS + self.node, value, revision)
+                self.view_sent = sent
+                self.next_touch = self.e.now + c.TOUCH_EVERY_S / 2
+                self.e.replica.put(VIEW, new.encode(), revision)
+                log.info("joined as %s, term %d, leader %s, members %s", self.incarnation,
+                         new.term, new.leader, sorted(new.members))
+                if old_lease is not None and old_lease != lease:
+                    self.e.store("revoke", (old_lease,), Priority.VIEW, lambda _: None)
+            elif reply.outcome == "conflict":
+                self.e.read_keys(reply.data.failed, self._read_self)
+            else:
+                self._retry_join()
+
+        self.e.store("txn", (plan,), Priority.LEASE, done)
+
+    def _touch(self) -> None:
+        self.touching = True
+        sent = self.e.now
+        lease = self.lease
+
+        def touched(reply: StoreReply) -> None:
+            self.touching = False
+            if lease != self.lease:
+                return
+            if reply.outcome == "ok":
+                self.touch_sent = sent
+                self.next_touch = max(self.e.now, sent + c.TOUCH_EVERY_S)
+            elif reply.outcome == "missing":
+                self._lost("lease ended")
+            else:
+                self.next_touch = self.e.now + c.TOUCH_RETRY_S * (0.75 + self.e.rng.random() / 2)
+
+        self.e.store("touch", (lease,), Priority.LEASE, touched)
+        self.confirm()
+
+    def confirm(self) -> None:
+        """Reads the view: proof that no newer one existed when this was sent."""
+        if self.confirming or not self.joined:
+            return
+        self.confirming = True
+        sent = self.e.now
+        incarnation = self.incarnation
+
+        def read(reply: StoreReply) -> None:
+            self.confirming = False
+            if reply.outcome != "ok" or incarnation != self.incarnation:
+                return
+            self.e.replica.put(VIEW, reply.data.value, reply.data.version)
+            if self.view is not None and reply.data.version == self.view.version:
+                if self.member():
+                    self.view_sent = max(self.view_sent, sent)
+                else:
+                    self._lost("excluded from the view")
+
+        self.e.store("get", (VIEW,), Priority.LEASE, read)
+
+    def _lost(self, why: str) -> None:
+        log.warning("%s: %s; joining again", self.incarnation, why)
+        self.joined = False
+        self.lease = None
+        self.touch_sent = self.view_sent = -1e9
+        self.next_join = self.e.now
+
+    # --- views ------------------------------------------------------------
+    def _next_view(self, members: dict[str, str]) -> View:
+        old = self.view
+        leader = old.leader if old and members.get(old.leader) == old.members.get(
+            old.leader) and old.leader in members else self.node
+        overrides = {}
+        if old:
+            overrides = {worker: to for worker, to in old.overrides.items()
+                         if members.get(to[0]) == to[1]}
+        for worker, node in self.want_override.items():
+            if node in members:
+                overrides[worker] = [node, members[node]]
+        overrides = dict(sorted(overrides.items())[:100])
+        return View((old.term if old else 0) + 1, members, leader, overrides)
+
+    def _check_view(self) -> None:
+        """Takes a new view when members and view differ, or a new term is needed."""
+        view, now = self.view, self.e.now
+        if view is None or self.changing or not self.member() or not self.e.replica.synced:
+            return
+        if self.node not in self.e.replica.members:
+            return
+        members = {node: m.incarnation for node, m in self.e.replica.members.items()}
+        differs = members != view.members
+        if not differs and not ((self.want_term or self.want_override)
+                                and now >= self.term_at + c.TERM_BUMP_EVERY_S):
+            self.next_view = 0.0
+            return
+        if not self.next_view:
+            wait = 0.0 if view.leader == self.node else c.VIEW_JITTER_S * (
+                0.3 + self.e.rng.random())
+            self.next_view = now + wait
+        if now < self.next_view:
+            return
+        self._change(members)
+
+    def _change(self, members: dict[str, str]) -> None:
+        self.changing = True
+        new = self._next_view(members)
+        sent = self.e.now
+        plan = TxnPlan(self.conditions(), [Put(VIEW, new.encode())])
+
+        def done(reply: StoreReply) -> None:
+            self.changing = False
+            self.next_view = 0.0
+            if reply.outcome == "ok":
+                self.view_sent = max(self.view_sent, sent)
+                self.e.replica.put(VIEW, new.encode(), reply.data.revision)
+                log.info("view %d: members %s, leader %s", new.term, sorted(new.members),
+                         new.leader)
+            elif reply.outcome == "conflict":
+                self.e.read_keys(reply.data.failed)
+            else:
+                self.next_view = self.e.now + c.TOUCH_RETRY_S
+
+        self.e.store("txn", (plan,), Priority.VIEW, done)
+
+    def on_view(self) -> None:
+        """A newer view is known."""
+        self.term_at = self.e.now
+        self.want_term = False
+        self.want_override.clear()
+        if self.joined and not self.member():
+            # Our member key may still exist; only a fresh read decides.
+            self.confirm()
--- /dev/null
+++ b/appledock/core/placement.py
@@ -0,0 +1,144 @@
+"""Where tasks go: room on machines, sampled best fit, and the job's own limits."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from appledock import constants as c
+from appledock import wire
+
+
+@dataclass(slots=True)
+class Room:
+    """What one machine has free."""
+
+    machine: str
+    type: wire.MachineType
+    zone: str
+    spot: bool
+    session: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    images: frozenset[str] | set[str] = frozenset()
+    fetching: frozenset[str] | set[str] = frozenset()
+    owner: str = ""
+    strikes: int = 0
+    """how often tasks of other jobs failed here"""
+    taken: dict[str, int] = field(default_factory=dict)
+
+    def fits(self, spec: wire.JobSpec) -> bool:
+        return (self.cpus + c.EPSILON >= spec.cpus and self.gpus + c.EPSILON >= spec.gpus
+                and self.memory_gb + c.EPSILON >= spec.memory_gb)
+
+    def count(self, spec: wire.JobSpec) -> int:
+        """How many tasks of this size fit."""
+        count = 100_000
+        for free, size in ((self.cpus, spec.cpus), (self.gpus, spec.gpus),
+                           (self.memory_gb, spec.memory_gb)):
+            if size > 0:
+                count = min(count, int((free + c.EPSILON) / size))
+        return max(0, count)
+
+    def take(self, spec: wire.JobSpec, tasks: int = 1) -> None:
+        self.cpus -= spec.cpus * tasks
+        self.gpus -= spec.gpus * tasks
+        self.memory_gb -= spec.memory_gb * tasks
+
+
+def type_fits(spec: wire.JobSpec, kind: wire.MachineType) -> bool:
+    """May and can a task of the job run on an empty machine of this type?"""
+    return ((spec.types is None or kind.name in spec.types)
+            and (spec.zone is None or spec.zone in kind.zones)
+            and kind.cpus + c.EPSILON >= spec.cpus and kind.gpus + c.EPSILON >= spec.gpus
+            and kind.memory_gb + c.EPSILON >= spec.memory_gb)
+
+
+def allowed_on(spec: wire.JobSpec, room: Room) -> bool:
+    """Do type, zone and kind (spot or ordinary) admit the job, whatever is free?"""
+    return ((spec.types is None or room.type.name in spec.types)
+            and (spec.zone is None or spec.zone == room.zone)
+            and (spec.spot or not room.spot))
+
+
+def zone_cap(spec: wire.JobSpec) -> int:
+    """The most tasks of the job that one zone may hold."""
+    return (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+
+
+def fetch_s(spec: wire.JobSpec, room: Room) -> float:
+    """How long a task would wait for its image there."""
+    if spec.image in room.images:
+        return 0.0
+    wait = spec.image_gb / room.type.fetch_gb_per_s if room.type.fetch_gb_per_s > 0 else 0.0
+    if spec.image in room.fetching:
+        return wait / 2
+    return wait * (1 + len(room.fetching))
+
+
+def score(spec: wire.JobSpec, room: Room) -> tuple[float, ...]:
+    """Lower is better: no failures, image at hand, right kind, tight fit, fast."""
+    left = (room.cpus - spec.cpus) / max(room.type.cpus, c.EPSILON)
+    left += (room.gpus - spec.gpus) / room.type.gpus if room.type.gpus > 0 else 0.0
+    left += 0.25 * (room.memory_gb - spec.memory_gb) / max(room.type.memory_gb, c.EPSILON)
+    # A job that may use spot leaves ordinary machines to those that may not.
+    misplaced = 1.0 if spec.spot and not room.spot else 0.0
+    return (float(room.strikes > 0), round(fetch_s(spec, room), 3), misplaced, round(left, 6))
+
+
+def pick(spec: wire.JobSpec, rooms: list[Room], rng: random.Random,
+         sample: int = c.SAMPLE) -> Room | None:
+    """Best fit among `sample` machines with room, drawn at random."""
+    if not rooms:
+        return None
+    drawn = rooms if len(rooms) <= sample else rng.sample(rooms, sample)
+    return min(drawn, key=lambda room: (score(spec, room), room.machine))
+
+
+def place(spec: wire.JobSpec, tasks: int, rooms: Iterable[Room], rng: random.Random,
+          zones: dict[str, int], whole: bool = False, sample: int = c.SAMPLE
+          ) -> list[tuple[Room, int]]:
+    """Up to `tasks` tasks on the rooms, which are charged; [(room, count), ...].
+
+    `zones` counts the job's unsettled tasks by zone. `whole`: all or none.
+    """
+    usable = [room for room in rooms if allowed_on(spec, room) and room.fits(spec)]
+    if not usable or tasks <= 0:
+        return []
+    if spec.one_zone:
+        held = {zone for zone, count in zones.items() if count}
+        if held:
+            usable = [room for room in usable if room.zone in held] if len(held) == 1 else []
+        else:
+            usable = _best_zone(spec, usable)
+    counts = dict(zones)
+    cap = zone_cap(spec)
+    placed: dict[str, list[Room]] = {}
+    left = tasks
+    while left and usable:
+        room = pick(spec, usable, rng, sample)
+        assert room is not None
+        if counts.get(room.zone, 0) >= cap:
+            usable = [other for other in usable if other.zone != room.zone]
+            continue
+        room.take(spec)
+        counts[room.zone] = counts.get(room.zone, 0) + 1
+        placed.setdefault(room.machine, []).append(room)
+        left -= 1
+        if not room.fits(spec):
+            usable = [other for other in usable if other is not room]
+    if whole and left:
+        for taken in placed.values():
+            taken[0].take(spec, -len(taken))
+        return []
+    return [(taken[0], len(taken)) for taken in placed.values()]
+
+
+def _best_zone(spec: wire.JobSpec, rooms: list[Room]) -> list[Room]:
+    """The rooms of the zone that holds most tasks of this size."""
+    by_zone: dict[str, list[Room]] = {}
+    for room in rooms:
+        by_zone.setdefault(room.zone, []).append(room)
+    return max(by_zone.values(), key=lambda rs: (sum(r.count(spec) for r in rs), rs[0].zone))
--- /dev/null
+++ b/appledock/core/replica.py
@@ -0,0 +1,253 @@
+"""This controller's picture of the state service, kept by one watch in order.
+
+All keys share one prefix, so that a change of the view and the steps committed
+before it are always seen in that order: whoever knows a view and has followed
+the changes up to it also knows every step that an earlier owner may have
+launched.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+from appledock import constants as c
+from appledock.core.jobs import Job, decode
+
+log = logging.getLogger(__name__)
+
+LIVE = c.KEY_ROOT + "live/"
+JOBS = LIVE + "jobs/"
+TEAMS = LIVE + "teams/"
+MEMBERS = LIVE + "members/"
+VIEW = LIVE + "view"
+CATALOGUE = LIVE + "catalogue"
+SETTINGS = LIVE + "settings"
+FINAL = c.KEY_ROOT + "final/"
+
+
+@dataclass(slots=True)
+class View:
+    """Who is a controller; its term is the workers' token."""
+
+    term: int
+    members: dict[str, str]
+    """node -> incarnation"""
+    leader: str
+    overrides: dict[str, list[str]] = field(default_factory=dict)
+    """worker -> node and incarnation, set when it cannot reach its derived owner"""
+    version: int = 0
+
+    def encode(self) -> dict[str, Any]:
+        return {"term": self.term, "members": self.members, "leader": self.leader,
+                "overrides": self.overrides}
+
+    def owner_of(self, name: str) -> str:
+        """Owner of a worker (or, without hand-off, of a job)."""
+        override = self.overrides.get(name)
+        if override and self.members.get(override[0]) == override[1]:
+            return override[0]
+        return self.derived_owner(name)
+
+    def derived_owner(self, name: str) -> str:
+        """Rendezvous hash: losing a member moves only what that member owned."""
+        return max(self.members, key=lambda node: hashlib.blake2b(
+            f"{node} {name}".encode(), digest_size=8).digest())
+
+
+@dataclass(slots=True)
+class Member:
+    incarnation: str
+    lease: int
+    version: int
+
+
+@dataclass(slots=True)
+class Team:
+    version: int = 0
+    jobs: dict[str, list[float]] = field(default_factory=dict)
+    """job -> cores and cards that its unsettled attempts hold"""
+
+    def used(self, without: str = "") -> tuple[float, float]:
+        cpus = sum(charge[0] for job, charge in self.jobs.items() if job != without)
+        gpus = sum(charge[1] for job, charge in self.jobs.items() if job != without)
+        return cpus, gpus
+
+
+class Replica:
+    """Rows by key, newest version wins; drops leave a mark until the watch passed them."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        """the watch has delivered every change up to here"""
+        self.jobs: dict[str, Job] = {}
+        self.finals: OrderedDict[str, str] = OrderedDict()
+        self.teams: dict[str, Team] = {}
+        self.members: dict[str, Member] = {}
+        self.view: View | None = None
+        self.catalogue: tuple[int, list[Any]] = (0, [])
+        self.settings: tuple[int, dict[str, Any]] = (0, {})
+        self.by_machine: dict[str, set[str]] = {}
+        self.marks: dict[str, int] = {}
+        self.changed_jobs: set[str] = set()
+        self.view_changed = False
+        self.members_changed = False
+        self.settings_changed = False
+        self._owners: dict[str, str] = {}
+
+    # --- reading ----------------------------------------------------------
+    @property
+    def synced(self) -> bool:
+        """The picture includes all that was committed before the present view.
+
+        Guards against a new owner that takes a running task for a stray because
+        the step that launched it has not reached this controller yet.
+        """
+        return self.view is not None and self.revision >= self.view.version
+
+    def owner_of(self, name: str) -> str:
+        """Owner of a worker (or, without hand-off, of a job)."""
+        assert self.view is not None
+        owner = self._owners.get(name)
+        if owner is None:
+            owner = self._owners[name] = self.view.owner_of(name)
+        return owner
+
+    def job_owner(self, job: Job) -> str:
+        assert self.view is not None
+        if job.handoff and self.view.members.get(job.handoff[0]) == job.handoff[1]:
+            return job.handoff[0]
+        return self.owner_of(job.id)
+
+    def team(self, name: str) -> Team:
+        return self.teams.setdefault(name, Team())
+
+    # --- writing ----------------------------------------------------------
+    def _version(self, key: str) -> int:
+        known = self.marks.get(key, 0)
+        if key.startswith(JOBS):
+            job = self.jobs.get(key[len(JOBS):])
+            return max(known, job.version if job else 0)
+        if key.startswith(TEAMS):
+            team = self.teams.get(key[len(TEAMS):])
+            return max(known, team.version if team else 0)
+        if key.startswith(MEMBERS):
+            member = self.members.get(key[len(MEMBERS):])
+            return max(known, member.version if member else 0)
+        if key == VIEW:
+            return max(known, self.view.version if self.view else 0)
+        if key == CATALOGUE:
+            return max(known, self.catalogue[0])
+        if key == SETTINGS:
+            return max(known, self.settings[0])
+        return known
+
+    def put(self, key: str, value: Any, version: int) -> None:
+        """A row as read, watched or committed; older news is dropped."""
+        if version <= self._version(key):
+            return
+        try:
+            self._put(key, value, version)
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+            log.error("malformed record %s: %s", key, error)
+
+    def _put(self, key: str, value: Any, version: int) -> None:
+        if key.startswith(JOBS):
+            self._set_job(decode(value, version))
+        elif key.startswith(FINAL):
+            self.add_final(key[len(FINAL):], value["state"])
+        elif key.startswith(TEAMS):
+            self.teams[key[len(TEAMS):]] = Team(version, dict(value["jobs"]))
+        elif key.startswith(MEMBERS):
+            self.members[key[len(MEMBERS):]] = Member(
+                value["incarnation"], value["lease"], version)
+            self.members_changed = True
+        elif key == VIEW:
+            self.view = View(int(value["term"]), dict(value["members"]), value["leader"],
+                             dict(value.get("overrides", {})), version)
+            self._owners.clear()
+            self.view_changed = True
+        elif key == CATALOGUE:
+            self.catalogue = (version, list(value["types"]))
+        elif key == SETTINGS:
+            self.settings = (version, dict(value))
+            self.settings_changed = True
+
+    def drop(self, key: str, version: int) -> None:
+        if version <= self._version(key):
+            return
+        self.marks[key] = version
+        if key.startswith(JOBS):
+            self._forget_job(key[len(JOBS):])
+        elif key.startswith(TEAMS):
+            self.teams[key[len(TEAMS):]] = Team()
+        elif key.startswith(MEMBERS):
+            self.members.pop(key[len(MEMBERS):], None)
+            self.members_changed = True
+        elif key == SETTINGS:
+            self.settings = (0, {})
+            self.settings_changed = True
+
+    def add_final(self, job: str, state: str) -> None:
+        self.finals[job] = state
+        if len(self.finals) > c.FINAL_CACHE:
+            self.finals.popitem(last=False)
+
+    def set_job(self, job: Job) -> None:
+        """A record that this controller has just committed."""
+        if job.version > self._version(JOBS + job.id):
+            self._set_job(job)
+
+    def _set_job(self, job: Job) -> None:
+        old = self.jobs.get(job.id)
+        if old is not None:
+            self._unindex(old)
+        self.jobs[job.id] = job
+        for attempt in job.attempts:
+            self.by_machine.setdefault(attempt.machine, set()).add(job.id)
+        self.changed_jobs.add(job.id)
+
+    def _unindex(self, job: Job) -> None:
+        for attempt in job.attempts:
+            jobs = self.by_machine.get(attempt.machine)
+            if jobs is not None:
+                jobs.discard(job.id)
+                if not jobs:
+                    del self.by_machine[attempt.machine]
+
+    def _forget_job(self, job_id: str) -> None:
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self._unindex(job)
+            self.changed_jobs.add(job_id)
+
+    def load(self, rows: list[Any], revision: int) -> None:
+        """Replace everything by a full listing that began at `revision`.
+
+        Rows that vanished while the watch was lost are dropped here: a listing
+        does not name them.
+        """
+        listed = {row.key for row in rows}
+        for job_id in [j for j in self.jobs if JOBS + j not in listed]:
+            if self.jobs[job_id].version <= revision:
+                self._forget_job(job_id)
+        for node in [n for n in self.members if MEMBERS + n not in listed]:
+            if self.members[node].version <= revision:
+                del self.members[node]
+                self.members_changed = True
+        for name in [t for t in self.teams if TEAMS + t not in listed]:
+            if self.teams[name].version <= revision:
+                self.teams[name] = Team()
+        for row in rows:
+            self.put(row.key, row.value, row.version)
+        self.revision = max(self.revision, revision)
+
+    def advance(self, revision: int) -> None:
+        """The watch has passed `revision`: marks up to it are needed no more."""
+        if revision > self.revision:
+            self.revision = revision
+            if len(self.marks) > 200:
+                self.marks = {k: v for k, v in self.marks.items() if v > revision}
--- /dev/null
+++ b/appledock/core/requests.py
@@ -0,0 +1,278 @@
+"""Requests of users: submit, poll and cancel, answered by any controller.
+
+Answers that are not final need proof that they are current, since another
+controller may already have told the user something newer. The proof is one
+compare-only transaction on the cached versions of all jobs asked for.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement, quota
+from appledock.core.budget import Priority
+from appledock.core.events import Cancel, Drop, Poll, Put, Reply, StoreReply, Submit, TxnPlan
+from appledock.core.jobs import Job
+from appledock.core.replica import FINAL, JOBS
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Asked:
+    """A user's request that waits for the state service."""
+
+    ask: int
+    job: str
+    deadline: float
+    spec: wire.JobSpec | None = None
+    """the submission that this poll stands for, if any"""
+    refusal: str | None = None
+    """why the submission can never run, if nobody accepted it before"""
+
+
+class Requests:
+    """Everything asked by users."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.polls: list[Asked] = []
+        self.open: dict[int, float] = {}
+        """requests being answered -> deadline"""
+        self.next_proof = 0.0
+        self.proving = False
+
+    # --- answers ----------------------------------------------------------
+    def answer(self, ask: int, status: int, body: Any) -> None:
+        """The one final answer of a request."""
+        if self.open.pop(ask, None) is None:
+            return
+        headers = {"Retry-After": str(c.RETRY_AFTER_S)} if status in (429, 503) else None
+        self.e.emit(Reply(ask, status, body, headers))
+
+    def refuse(self, ask: int, why: str, status: int = 503) -> None:
+        self.answer(ask, status, {"error": why})
+
+    def state(self, job_id: str) -> wire.JobState | None:
+        """The job as this controller knows it."""
+        final = self.e.replica.finals.get(job_id)
+        if final is not None:
+            return wire.JobState(job_id, final)
+        job = self.e.replica.jobs.get(job_id)
+        if job is None:
+            return None
+        if job.cancelled:
+            return wire.JobState(job_id, wire.CANCELLED, len(job.done), 0)
+        running = self.e.running(job)
+        return wire.JobState(job_id, wire.RUNNING if running else wire.PENDING,
+                             len(job.done), running)
+
+    def _admit(self, ask: int) -> bool:
+        """Bounded: beyond the bound users are refused at once."""
+        self.open[ask] = self.e.now + c.REQUEST_DEADLINE_S
+        if not self.e.loaded:
+            self.refuse(ask, "starting")
+            return False
+        if len(self.open) > c.PENDING_USERS_MAX:
+            self.refuse(ask, "too many requests", 429)
+            return False
+        return True
+
+    def tick(self) -> None:
+        now = self.e.now
+        for ask in [a for a, deadline in self.open.items() if deadline <= now]:
+            self.refuse(ask, "state service does not answer")
+        if self.polls and not self.proving and now >= self.next_proof:
+            self._prove()
+
+    # --- submit -----------------------------------------------------------
+    def submit(self, cmd: Submit) -> None:
+        if not self._admit(cmd.ask):
+            return
+        spec = cmd.spec
+        asked = Asked(cmd.ask, spec.id, self.open[cmd.ask], spec)
+        if spec.id in self.e.replica.finals or spec.id in self.e.replica.jobs:
+            self._poll(asked)
+            return
+        refusal = self.verdict(spec)
+        if refusal == "":
+            self.refuse(cmd.ask, "machine types are not known yet")
+        elif refusal:
+            # It may have been accepted when the types were others.
+            asked.refusal = refusal
+            self._poll(asked)
+        else:
+            self._create(asked)
+
+    def verdict(self, spec: wire.JobSpec) -> str | None:
+        """Why the job can never run; empty if that cannot be told yet."""
+        team = self.e.teams.get(spec.team)
+        if team is None:
+            return f"unknown team {spec.team}"
+        tasks = spec.tasks if spec.service else 1
+        if not quota.need(spec, tasks).fits(quota.limit(team)):
+            return "more than the team's limit"
+        if not self.e.types:
+            return ""
+        if not any(placement.type_fits(spec, kind) for kind in self.e.types.values()):
+            return "fits no allowed machine type"
+        return None
+
+    def _create(self, asked: Asked) -> None:
+        spec = asked.spec
+        assert spec is not None
+        job = Job(spec, self.e.wall)
+        record = job.encode()
+        if len(wire.encode(record)) > self.e.value_bytes:
+            self.answer(asked.ask, 400, {"error": "description too long"})
+            return
+        plan = TxnPlan({JOBS + spec.id: 0, FINAL + spec.id: 0}, [Put(JOBS + spec.id, record)])
+
+        def done(reply: StoreReply) -> None:
+            if reply.outcome == "ok":
+                job.version = reply.data.revision
+                self.e.replica.set_job(job)
+                self.e.queue_dirty = True
+                self.e.fleet.arrived(job)
+                self.answer(asked.ask, 201, wire.JobState(spec.id, wire.PENDING))
+            elif reply.outcome == "conflict":
+                self._read(asked)
+            elif reply.outcome == "invalid":
+                self.answer(asked.ask, 400, {"error": "refused by the state service"})
+            else:
+                self.refuse(asked.ask, "state service does not answer")
+
+        self.e.store("txn", (plan,), Priority.USER, done, c.REQUEST_DEADLINE_S)
+
+    # --- poll -------------------------------------------------------------
+    def poll(self, cmd: Poll) -> None:
+        if self._admit(cmd.ask):
+            self._poll(Asked(cmd.ask, cmd.job, self.open[cmd.ask]))
+
+    def _poll(self, asked: Asked) -> None:
+        if asked.job in self.e.replica.finals:
+            self._tell(asked)
+        else:
+            self.polls.append(asked)
+
+    def _tell(self, asked: Asked) -> None:
+        state = self.state(asked.job)
+        if state is not None:
+            self.answer(asked.ask, 200, state)
+        elif asked.refusal is not None:
+            self.answer(asked.ask, 422, {"error": asked.refusal})
+        elif asked.spec is not None:
+            self._create(asked)
+        else:
+            self.answer(asked.ask, 404, {"error": "no such job"})
+
+    def _prove(self) -> None:
+        """One compare-only transaction for all the polls that wait."""
+        self.next_proof = self.e.now + c.PROOF_EVERY_S
+        conditions: dict[str, int] = {}
+        batch: list[Asked] = []
+        rest: list[Asked] = []
+        most = min(c.PROOF_MAX, 4 * self.e.settings.cluster.state.txn_ops)
+        for asked in self.polls:
+            if asked.ask not in self.open:
+                continue
+            if asked.job in self.e.replica.finals:
+                self._tell(asked)
+                continue
+            if len(conditions) + 2 > most:
+                rest.append(asked)
+                continue
+            job = self.e.replica.jobs.get(asked.job)
+            conditions[JOBS + asked.job] = job.version if job else 0
+            if job is None:
+                conditions[FINAL + asked.job] = 0
+            batch.append(asked)
+        self.polls = rest
+        if not batch:
+            return
+        self.proving = True
+
+        def done(reply: StoreReply) -> None:
+            self.proving = False
+            if reply.outcome == "ok":
+                for asked in batch:
+                    self._tell(asked)
+            elif reply.outcome == "conflict":
+                failed = set(reply.data.failed)
+                for asked in batch:
+                    if JOBS + asked.job in failed or FINAL + asked.job in failed:
+                        self._read(asked)
+                    else:
+                        self._tell(asked)
+            else:
+                for asked in batch:
+                    self.refuse(asked.ask, "state service does not answer")
+
+        self.e.store("txn", (TxnPlan(conditions),), Priority.USER, done, c.REQUEST_DEADLINE_S)
+
+    def _read(self, asked: Asked) -> None:
+        """The cached version was old: read both keys, then answer."""
+        self.e.read_keys([JOBS + asked.job, FINAL + asked.job], lambda: self._tell(asked),
+                         lambda: self.refuse(asked.ask, "state service does not answer"))
+
+    # --- cancel -----------------------------------------------------------
+    def cancel(self, cmd: Cancel) -> None:
+        if self._admit(cmd.ask):
+            asked = Asked(cmd.ask, cmd.job, self.open[cmd.ask])
+            if cmd.job in self.e.replica.finals or cmd.job in self.e.replica.jobs:
+                self._cancel(asked)
+            else:
+                self.e.read_keys(
+                    [JOBS + cmd.job, FINAL + cmd.job], lambda: self._cancel(asked),
+                    lambda: self.refuse(cmd.ask, "state service does not answer"))
+
+    def _cancel(self, asked: Asked) -> None:
+        """Committed first, then answered, then carried out: the record's version
+        makes every later start fail."""
+        if asked.ask not in self.open:
+            return
+        final = self.e.replica.finals.get(asked.job)
+        job = self.e.replica.jobs.get(asked.job)
+        if final is not None:
+            self.answer(asked.ask, 200, wire.JobState(asked.job, final))
+            return
+        if job is None:
+            self.answer(asked.ask, 404, {"error": "no such job"})
+            return
+        new = job.copy()
+        new.cancelled = True
+        over = not job.attempts
+        plan = TxnPlan({JOBS + job.id: job.version})
+        if over:
+            plan.writes = [Drop(JOBS + job.id), Put(FINAL + job.id, {"state": wire.CANCELLED})]
+        else:
+            plan.writes = [Put(JOBS + job.id, new.encode())]
+
+        def done(reply: StoreReply) -> None:
+            if reply.outcome == "ok":
+                revision = reply.data.revision
+                if over:
+                    self.e.replica.put(FINAL + job.id, {"state": wire.CANCELLED}, revision)
+                    self.e.replica.drop(JOBS + job.id, revision)
+                else:
+                    new.version = revision
+                    self.e.replica.set_job(new)
+                self.answer(asked.ask, 200, wire.JobState(job.id, wire.CANCELLED))
+            elif reply.outcome == "conflict":
+                self.e.read_keys([JOBS + job.id, FINAL + job.id], lambda: self._cancel(asked),
+                                 lambda: self.refuse(asked.ask, "state service does not answer"))
+            else:
+                self.refuse(asked.ask, "state service does not answer")
+
+        if job.cancelled:
+            # Cancelled already, by us or a request before: only proof is missing.
+            self._poll(asked)
+            return
+        self.e.store("txn", (plan,), Priority.USER, done, c.REQUEST_DEADLINE_S)
--- /dev/null
+++ b/appledock/core/workers.py
@@ -0,0 +1,423 @@
+"""Workers: last reports, leases, commands, and proof that an attempt is settled."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core.events import PeerSend, Reply, WorkerCall, WorkerReply
+from appledock.core.jobs import Attempt, Job, split_task
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+    from appledock.core.replica import View
+
+log = logging.getLogger(__name__)
+
+Key = tuple[str, int]
+"""task name and attempt number"""
+
+
+@dataclass(slots=True)
+class Worker:
+    """What is known of one machine through its worker."""
+
+    id: str
+    report: wire.Report | None = None
+    heard_at: float = -1e9
+    """when the last report reached us or a peer passed it on"""
+    bound: float = 0.0
+    """no controller has answered a report of this worker after this moment,
+    or can do so before we know of it"""
+    lapsed: int = 0
+    """this session and all before it are over"""
+    tasks: dict[Key, wire.TaskReport] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)
+    """image -> when it was last seen fetched here"""
+    launched: dict[Key, float] = field(default_factory=dict)
+    """launches sent under the present term -> when last"""
+    uncertain: dict[Key, int] = field(default_factory=dict)
+    """launches sent straight to the worker without an answer -> term. Until the
+    worker has seen a higher term they may still be executed, so the attempt
+    must stay on the worker's books: it is not forgotten."""
+    halted: dict[Key, float] = field(default_factory=dict)
+    calling: int = 0
+    """direct calls in flight"""
+    show_at: float = 0.0
+    strangers: tuple[float, int] = (0.0, 0)
+    """since when, and how often, it came here although another owns it"""
+    passed_on: float = -1e9
+    cordoned: str = ""
+    """reason, if no step may be placed here"""
+    failed_jobs: set[str] = field(default_factory=set)
+    idle_since: float = 0.0
+
+    @property
+    def session(self) -> int:
+        return self.report.session if self.report else 0
+
+
+class Workers:
+    """The table of workers and all dealings with them."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.table: dict[str, Worker] = {}
+        self.gone: dict[str, float] = {}
+        """machines whose deletion was confirmed, or that the cloud calls failed"""
+        self.wants_confirm = False
+        self.orders_due: set[str] = set()
+        self.start_bound = 0.0
+
+    def get(self, name: str) -> Worker:
+        worker = self.table.get(name)
+        if worker is None:
+            # Another controller may have answered it under a view it still
+            # believes in; that ends within one lease from now.
+            worker = self.table[name] = Worker(name, bound=max(
+                self.start_bound, self.e.now + c.GRANT_S))
+        return worker
+
+    def owned(self, name: str) -> bool:
+        return self.e.replica.owner_of(name) == self.e.settings.name
+
+    # --- reports ----------------------------------------------------------
+    def on_report(self, ask: int, report: wire.Report) -> None:
+        member = self.e.membership
+        if not member.acting():
+            self.e.emit(Reply(ask, 503, {"error": "not entitled"}))
+            return
+        owner = self.e.replica.owner_of(report.worker)
+        worker = self.get(report.worker)
+        if owner != self.e.settings.name:
+            self.learn(report)
+            self._count_stranger(worker, owner)
+            self.e.emit(Reply(ask, 421, wire.Redirect(owner)))
+            return
+        worker.strangers = (0.0, 0)
+        if report.token > member.term:
+            # A newer view exists; answering would be dropped anyway.
+            member.confirm()
+            self.e.emit(Reply(ask, 503, {"error": "newer view"}))
+            return
+        if report.session <= worker.lapsed or not self.learn(report):
+            self.e.emit(Reply(ask, 503, {"error": "outdated report"}))
+            return
+        self.pass_on(worker)
+        commands = self.commands(worker, direct=False)
+        worker.bound = max(worker.bound, self.e.now)
+        self.e.emit(Reply(ask, 200, wire.ReportAnswer(member.term, commands)))
+
+    def _count_stranger(self, worker: Worker, owner: str) -> None:
+        """A worker that cannot reach its owner must not be sent round until its
+        lease ends: after some tries it is given to us by a new view."""
+        now = self.e.now
+        since, tries = worker.strangers
+        if now - since > 2 * c.OVERRIDE_AFTER_S or worker.heard_at > since + 2.0 > now - 2.0:
+            since, tries = now, 0
+        worker.strangers = (since, tries + 1)
+        if tries + 1 >= c.OVERRIDE_MIN_TRIES and now - since >= c.OVERRIDE_AFTER_S:
+            log.warning("%s cannot reach its owner %s; taking it over", worker.id, owner)
+            self.e.membership.want_override[worker.id] = self.e.settings.name
+
+    def learn(self, report: wire.Report) -> bool:
+        """Take the report in if it is newer than the one known."""
+        worker = self.get(report.worker)
+        old = worker.report
+        if old is not None and (report.session, report.seq) <= (old.session, old.seq):
+            return False
+        now = self.e.now
+        worker.heard_at = now
+        worker.report = report
+        before = worker.tasks
+        worker.tasks = {(t.task, t.attempt): t for t in report.tasks}
+        if old is None or old.session != report.session:
+            # A session that ended took its tasks, images' users and orders along.
+            worker.launched.clear()
+            worker.halted.clear()
+            worker.uncertain.clear()
+            worker.images = {} if old is not None else worker.images
+        if worker.uncertain:
+            worker.uncertain = {k: t for k, t in worker.uncertain.items() if t >= report.token}
+        for (task, _), entry in worker.tasks.items():
+            if entry.state in (wire.RUNNING, wire.SAVING) or entry.why == wire.DONE:
+                job = self.e.replica.jobs.get(split_task(task)[0])
+                if job is not None:
+                    worker.images[job.spec.image] = now
+        busy = any(t.state != wire.EXITED for t in report.tasks)
+        if busy:
+            worker.idle_since = 0.0
+        elif not worker.idle_since:
+            worker.idle_since = now
+        if (before.keys() != worker.tasks.keys() or old is None or old.session != report.session
+                or old.token != report.token or old.notice_s != report.notice_s
+                or any(before[k].state != t.state for k, t in worker.tasks.items())):
+            self.e.steps.worker_changed(worker.id)
+            self.e.queue_dirty = True
+        return True
+
+    def pass_on(self, worker: Worker, force: bool = False) -> None:
+        """Tell the peers: every controller keeps a picture of all workers."""
+        report = worker.report
+        if report is None:
+            return
+        changed = worker.id in self.e.steps.changed_workers
+        if force or changed or self.e.now - worker.passed_on >= c.PEER_RESEND_S / 2:
+            worker.passed_on = self.e.now
+            self.e.emit(PeerSend({"kind": "worker", "report": msgspec.to_builtins(report)}))
+
+    # --- commands ---------------------------------------------------------
+    def commands(self, worker: Worker, direct: bool) -> list[wire.Command]:
+        """What the worker lacks or has too much, compared with the records."""
+        result: list[wire.Command] = []
+        report = worker.report
+        assert report is not None
+        now, term = self.e.now, self.e.membership.term
+        jobs = self.e.replica.jobs
+        opened: dict[Key, tuple[Job, Attempt]] = {}
+        for job_id in sorted(self.e.replica.by_machine.get(worker.id, ())):
+            job = jobs[job_id]
+            for attempt in job.attempts:
+                if attempt.machine == worker.id and attempt.session == report.session:
+                    for number in attempt.tasks:
+                        opened[(f"{job_id}/{number}", attempt.number)] = (job, attempt)
+        for key, entry in worker.tasks.items():
+            known = opened.get(key)
+            if entry.state == wire.EXITED:
+                # Forgotten only once recorded, and never while a launch of it
+                # may be under way: after `forget` that launch would start it.
+                if known is None and key not in worker.uncertain and not direct:
+                    result.append(wire.Command(wire.FORGET, *key))
+            elif known is None:
+                result.append(wire.Command(wire.HALT, *key, grace_s=0.0))
+            elif known[0].cancelled:
+                if now - worker.halted.get(key, -1e9) >= c.HALT_AGAIN_S:
+                    worker.halted[key] = now
+                    result.append(wire.Command(wire.HALT, *key, grace_s=0.0))
+            elif known[1].stopping and entry.state != wire.SAVING and (
+                    now - worker.halted.get(key, -1e9) >= c.HALT_AGAIN_S):
+                worker.halted[key] = now
+                spec = known[0].spec
+                grace = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
+                result.append(wire.Command(wire.HALT, *key, grace_s=grace))
+        for key, (job, attempt) in opened.items():
+            if key in worker.tasks or attempt.term != term or job.cancelled or attempt.stopping:
+                continue
+            if now - worker.launched.get(key, -1e9) >= c.LAUNCH_AGAIN_S:
+                worker.launched[key] = now
+                result.append(wire.Command(wire.LAUNCH, *key))
+        return result
+
+    def order(self, worker: Worker) -> None:
+        """Send commands straight to the worker, at once."""
+        report = worker.report
+        if (worker.calling or report is None or not self.e.membership.acting()
+                or report.session <= worker.lapsed or worker.id in self.gone):
+            return
+        commands = self.commands(worker, direct=True)
+        if not commands:
+            return
+        term = self.e.membership.term
+        launches = [(x.task, x.attempt) for x in commands if x.op == wire.LAUNCH]
+        for key in launches:
+            worker.uncertain[key] = term
+        worker.calling += 1
+
+        def answered(reply: WorkerReply) -> None:
+            worker.calling -= 1
+            if reply.outcome != "unknown":
+                for key in launches:
+                    if worker.uncertain.get(key) == term:
+                        del worker.uncertain[key]
+            if reply.outcome != "ok":
+                for key in launches:
+                    worker.launched.pop(key, None)
+                    if reply.outcome == "unknown":
+                        worker.launched[key] = self.e.now
+            if reply.report is not None and reply.report.worker == worker.id and (
+                    self.learn(reply.report)):
+                self.pass_on(worker)
+
+        self.e.call(lambda tag: WorkerCall(
+            tag, report.addr, wire.Orders(term, report.session, commands), c.ORDERS_TIMEOUT_S),
+            answered)
+
+    def job_changed(self, job_id: str) -> None:
+        """A record changed: its machines may need orders at once."""
+        job = self.e.replica.jobs.get(job_id)
+        if job is not None:
+            for attempt in job.attempts:
+                self.orders_due.add(attempt.machine)
+
+    def flush_orders(self) -> None:
+        due, self.orders_due = self.orders_due, set()
+        if not self.e.membership.acting():
+            return
+        for name in sorted(due):
+            worker = self.table.get(name)
+            if worker is not None and self.owned(name):
+                if worker.calling:
+                    self.orders_due.add(name)
+                else:
+                    self.order(worker)
+
+    # --- settlement -------------------------------------------------------
+    def verdict(self, job: Job, attempt: Attempt, task: int) -> str | None:
+        """Is this attempt of a task over? `done`, `error`, `settled`, or None: open.
+
+        Silence, refused connections and missing rows of the machine list prove
+        nothing and are not looked at here.
+        """
+        if attempt.machine in self.gone:
+            return "settled"
+        worker = self.table.get(attempt.machine)
+        if worker is None:
+            return None
+        report = worker.report
+        key = (f"{job.id}/{task}", attempt.number)
+        if report is not None and report.session == attempt.session:
+            entry = worker.tasks.get(key)
+            if entry is not None:
+                if entry.state == wire.EXITED:
+                    if entry.why == wire.DONE and not job.spec.service:
+                        return "done"
+                    return "error" if entry.why in (wire.ERROR, wire.UNKNOWN) else "settled"
+            elif report.token > attempt.term:
+                # Orders of the step's term are refused from here on, and launches
+                # are only sent under the term of their step.
+                return "settled"
+        if attempt.session <= worker.lapsed:
+            return "settled"
+        if report is not None and report.session > attempt.session:
+            return "settled"
+        if (report is not None and report.session == attempt.session and key not in worker.tasks
+                and (job.cancelled or attempt.stopping) and key not in worker.launched
+                and attempt.term == self.e.membership.term and self.owned(worker.id)):
+            # Only the owner launches, it never did, and the record forbids it now.
+            return "settled"
+        return None
+
+    def tick(self) -> None:
+        """Sessions that have lapsed, and workers worth asking."""
+        member = self.e.membership
+        if not member.acting():
+            return
+        now = self.e.now
+        lease = self.e.settings.cluster.workers.lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
+        for machine in list(self.e.replica.by_machine):
+            worker = self.get(machine)
+            if worker.id in self.gone:
+                continue
+            if self.owned(machine):
+                top = max((a.session for j in self.e.replica.by_machine[machine]
+                           for a in self.e.replica.jobs[j].attempts
+                           if a.machine == machine), default=0)
+                session = max(top, worker.session)
+                # A session heard of lives on for a lease even if nobody answers it.
+                since = max(worker.bound, worker.heard_at)
+                if session > worker.lapsed and now >= since + lease:
+                    # The view must be proven to have been ours until then: a
+                    # newer owner may have renewed the lease.
+                    if member.view_sent >= since + lease:
+                        log.info("%s: session %d has lapsed", machine, session)
+                        self.set_lapsed(machine, session)
+                        self.e.emit(PeerSend({"kind": "lapsed", "worker": machine,
+                                              "session": session}))
+                    else:
+                        member.confirm()
+            if (worker.report is not None and now - worker.heard_at > c.SHOW_AFTER_S
+                    and now >= worker.show_at and not worker.calling
+                    and session_open(self.e, worker)):
+                self._show(worker)
+
+    def _show(self, worker: Worker) -> None:
+        """Ask the worker itself: the owner may be unable to pass reports on."""
+        assert worker.report is not None
+        worker.show_at = self.e.now + c.SHOW_EVERY_S
+        worker.calling += 1
+        addr = worker.report.addr
+
+        def answered(reply: WorkerReply) -> None:
+            worker.calling -= 1
+            if reply.report is not None and reply.report.worker == worker.id:
+                self.learn(reply.report)
+
+        self.e.call(lambda tag: WorkerCall(tag, addr, None, c.ORDERS_TIMEOUT_S), answered)
+
+    def set_lapsed(self, machine: str, session: int) -> None:
+        worker = self.get(machine)
+        if session > worker.lapsed:
+            worker.lapsed = session
+            self.e.steps.worker_changed(machine)
+            self.e.queue_dirty = True
+
+    def set_gone(self, machines: list[str]) -> None:
+        for machine in machines:
+            if machine not in self.gone:
+                self.gone[machine] = self.e.now
+                self.table.pop(machine, None)
+                self.e.steps.worker_changed(machine)
+        if len(self.gone) > 20_000:
+            for machine in sorted(self.gone, key=self.gone.__getitem__)[:10_000]:
+                if machine not in self.e.replica.by_machine:
+                    del self.gone[machine]
+
+    # --- views ------------------------------------------------------------
+    def on_view(self, old: View | None) -> None:
+        """Ownership may have moved: how long may the former owners still answer?
+
+        A former owner that is no longer in the view had no authority left when
+        the view was committed. One that is still a member may answer until it
+        learns of the view, at most one lease from now.
+        """
+        view, now = self.e.replica.view, self.e.now
+        assert view is not None
+        for name, worker in self.table.items():
+            worker.launched.clear()
+            self.orders_due.add(name)
+            if old is None or view.term != old.term + 1:
+                # A view in between may have had any owner.
+                worker.bound = max(worker.bound, now + c.GRANT_S)
+                continue
+            owner = old.owner_of(name)
+            if view.members.get(owner) != old.members[owner]:
+                worker.bound = max(worker.bound, now)
+            elif owner != self.e.settings.name:
+                worker.bound = max(worker.bound, now + c.GRANT_S)
+
+    # --- peers ------------------------------------------------------------
+    def on_peer(self, message: dict[str, Any]) -> None:
+        kind = message["kind"]
+        if kind == "worker":
+            report = msgspec.convert(message["report"], wire.Report)
+            if report.worker not in self.gone:
+                self.learn(report)
+        elif kind == "lapsed":
+            self.set_lapsed(str(message["worker"]), int(message["session"]))
+        elif kind == "gone":
+            self.set_gone([str(name) for name in message["machines"]])
+
+    def greet(self, name: str) -> None:
+        """A link (re)opened: what the peer missed is sent again."""
+        for worker in self.table.values():
+            if worker.report is not None and self.e.replica.view and self.owned(worker.id):
+                self.e.emit(PeerSend({"kind": "worker",
+                                      "report": msgspec.to_builtins(worker.report)}, name))
+            if worker.lapsed:
+                self.e.emit(PeerSend({"kind": "lapsed", "worker": worker.id,
+                                      "session": worker.lapsed}, name))
+        if self.gone:
+            self.e.emit(PeerSend({"kind": "gone", "machines": list(self.gone)[-2000:]}, name))
+
+
+def session_open(engine: Engine, worker: Worker) -> bool:
+    """Does a job of ours have an open attempt in the worker's session?"""
+    return any(engine.owns_job(engine.replica.jobs[j]) and any(
+        a.machine == worker.id and a.session > worker.lapsed
+        for a in engine.replica.jobs[j].attempts)
+        for j in engine.replica.by_machine.get(worker.id, ()))
--- /dev/null
+++ b/appledock/net/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP and netstring transports on asyncio protocols."""
--- /dev/null
+++ b/appledock/wire.py
@@ -0,0 +1,264 @@
+"""The words of the wire, and nowhere else: structs that rename them to ours.
+
+| wire | here | | wire | here |
+| --- | --- | --- | --- | --- |
+| berth | job_class | | warrant | token |
+| owner | team | | shift, tally | session, seq |
+| crates, crate | tasks, task | | recall_s | notice_s |
+| dockhand | worker, machine | | charter | request |
+| hull, quay, standby | type, zone, spot | | ledger, stamp | revision, version |
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import UNSET, Meta, Struct, UnsetType, field
+
+Amount = Annotated[float, Meta(ge=0, le=1e12)]
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+Unsigned = Annotated[int, Meta(ge=0, lt=2**63)]
+JobId = Annotated[str, Meta(pattern=r"\Ajob-[0-9]{1,18}\Z")]
+
+ARRAY, SERVICE = "batch", "daemon"
+RANKS = {"production": 3, "urgent": 2, "standard": 1, "best_effort": 0}
+PENDING, RUNNING, DONE, CANCELLED = "pending", "running", "done", "withdrawn"
+FETCHING, SAVING, EXITED = "pulling", "saving", "exited"
+STOPPED, ERROR, NO_ROOM, BUSY, UNKNOWN = "stopped", "error", "full", "in_use", "unknown"
+LAUNCH, HALT, FORGET = "launch", "halt", "forget"
+BOOTING, FAILED = "starting", "failed"
+
+PATH_JOBS = "/v2/runs"
+PATH_REPORT = "/agent/beat"
+PATH_HEALTH = "/healthz"
+PATH_ORDERS = "/orders"
+PATH_SHOW = "/show"
+PATH_TYPES = "/machine_types"
+PATH_MACHINES = "/machines"
+PATH_DELETE = "/machines/delete"
+
+
+class JobSpec(Struct, frozen=True):
+    """What a user submits."""
+
+    id: JobId
+    job_class: Text = field(name="berth")
+    team: Text = field(name="owner")
+    kind: Annotated[str, Meta(pattern=r"\A(batch|daemon)\Z")] = field(name="shape")
+    priority: Annotated[str, Meta(pattern=r"\A(production|urgent|standard|best_effort)\Z")] = field(
+        name="rank")
+    tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="crates")
+    cpus: Amount = field(name="cores")
+    gpus: Amount = field(name="cards")
+    memory_gb: Amount
+    image: Text = field(name="cargo")
+    image_gb: Amount
+    one_zone: bool = field(name="together")
+    spread: bool = field(name="scatter")
+    spot: bool = field(name="standby")
+    estimate_s: Amount = field(name="eta_s")
+    checkpoint_s: Amount = field(name="stow_s")
+    save_s: Amount = field(name="lash_s")
+    types: list[Text] | None = field(name="hulls", default=None)
+    zone: Text | None = field(name="quay", default=None)
+    deadline_s: Amount | None = field(name="sail_s", default=None)
+
+    @property
+    def service(self) -> bool:
+        return self.kind == SERVICE
+
+    @property
+    def rank(self) -> int:
+        return RANKS[self.priority]
+
+
+class JobState(Struct, omit_defaults=True):
+    id: str
+    state: str = field(name="status")
+    done: int | None = None
+    running: int | None = None
+
+
+class TaskReport(Struct, frozen=True):
+    task: str = field(name="crate")
+    attempt: Unsigned = field(name="try")
+    state: str = field(name="status")
+    why: str | None = field(name="cause", default=None)
+    saved: bool | None = field(name="stored", default=None)
+
+    def split(self) -> tuple[str, int]:
+        """Job id and task number; a name of another form belongs to no job."""
+        job, _, number = self.task.rpartition("/")
+        return job, int(number) if number.isdigit() else -1
+
+
+class Report(Struct, frozen=True):
+    worker: Text = field(name="dockhand")
+    addr: Text
+    type: Text = field(name="hull")
+    zone: Text = field(name="quay")
+    session: Unsigned = field(name="shift")
+    seq: Unsigned = field(name="tally")
+    token: Unsigned = field(name="warrant")
+    spot: bool = field(name="standby", default=False)
+    notice_s: float | None = field(name="recall_s", default=None)
+    tasks: list[TaskReport] = field(name="crates", default=[])
+
+
+class Command(Struct, frozen=True, omit_defaults=True):
+    op: str = field(name="verb")
+    task: str = field(name="crate")
+    attempt: int = field(name="try")
+    grace_s: float | None = field(name="mooring_s", default=None)
+
+
+class ReportAnswer(Struct):
+    token: int = field(name="warrant")
+    commands: list[Command] = field(name="orders")
+
+
+class Orders(Struct):
+    token: int = field(name="warrant")
+    session: int = field(name="shift")
+    commands: list[Command] = field(name="orders")
+
+
+class Redirect(Struct, omit_defaults=True):
+    report_to: str | None = field(name="harbormaster", default=None)
+
+
+class MachineType(Struct, frozen=True):
+    name: Text
+    cpus: Amount = field(name="cores")
+    memory_gb: Amount
+    price: Amount = field(name="hourly")
+    spot_price: Amount = field(name="market_price")
+    boot_s: Amount
+    zones: list[Text] = field(name="quays")
+    gpus: Amount = field(name="cards", default=0.0)
+    cache_gb: Amount = field(name="local_gb", default=0.0)
+    fetch_gb_per_s: Amount = field(name="pull_gb_per_s", default=0.0)
+
+
+class MachineTypes(Struct):
+    types: list[MachineType] = field(name="hulls")
+
+
+class Machine(Struct, frozen=True):
+    id: Text
+    type: str = field(name="hull")
+    zone: str = field(name="quay")
+    state: str = field(name="status")
+    addr: str = ""
+    spot: bool = field(name="standby", default=False)
+    age_s: float = 0.0
+
+
+class MachineList(Struct):
+    machines: list[Machine] = field(name="dockhands")
+    more: bool = field(name="has_next", default=False)
+
+
+class Rent(Struct):
+    request: str = field(name="charter")
+    type: str = field(name="hull")
+    zone: str = field(name="quay")
+    spot: bool = field(name="standby")
+    count: int
+
+
+class Rented(Struct):
+    machines: list[str] = field(name="dockhands")
+
+
+class Row(Struct, frozen=True):
+    key: str
+    value: Any = field(name="data")
+    version: int = field(name="stamp")
+    lease: int | None = field(name="permit", default=None)
+
+
+class Rows(Struct):
+    items: list[Row] = field(name="rows")
+    revision: int = field(name="ledger")
+    more: bool = field(name="has_next", default=False)
+
+
+class Event(Struct, frozen=True):
+    version: int = field(name="stamp")
+    put: str | None = field(name="set", default=None)
+    delete: str | None = field(name="drop", default=None)
+    value: Any = field(name="data", default=None)
+
+
+class Watched(Struct):
+    revision: int = field(name="ledger")
+    events: list[Event] = field(name="events", default=[])
+
+
+class Condition(Struct, frozen=True):
+    key: str
+    version: int = field(name="stamp")
+
+
+class Write(Struct, frozen=True, omit_defaults=True):
+    put: str | UnsetType = field(name="set", default=UNSET)
+    value: Any = field(name="data", default=UNSET)
+    lease: int | UnsetType = field(name="permit", default=UNSET)
+    delete: str | UnsetType = field(name="drop", default=UNSET)
+
+
+class Txn(Struct):
+    conditions: list[Condition] = field(name="if")
+    writes: list[Write] = field(name="writes")
+
+
+class Committed(Struct):
+    revision: int = field(name="ledger")
+
+
+class Conflict(Struct):
+    failed: list[str]
+    revision: int = field(name="ledger", default=0)
+
+
+class Missing(Struct):
+    revision: int = field(name="ledger", default=0)
+
+
+class GrantRequest(Struct):
+    ttl_ms: int = field(name="life_ms")
+
+
+class Grant(Struct):
+    lease: int = field(name="permit")
+
+
+def path_of_key(key: str) -> str:
+    return f"/keys/{key}"
+
+
+def path_of_list(prefix: str, after: str | None, limit: int) -> str:
+    since = f"&since={after}" if after else ""
+    return f"/keys?under={prefix}{since}&limit={limit}"
+
+
+def path_of_watch(prefix: str, after: int, wait_ms: int) -> str:
+    return f"/follow?under={prefix}&since={after}&block_ms={wait_ms}"
+
+
+def path_of_touch(lease: int) -> str:
+    return f"/grants/{lease}/touch"
+
+
+def path_of_grant(lease: int | None = None) -> str:
+    return "/grants" if lease is None else f"/grants/{lease}"
+
+
+def path_of_machines(after: str | None, limit: int) -> str:
+    since = f"since={after}&" if after else ""
+    return f"{PATH_MACHINES}?{since}limit={limit}"
+
+
+encode = msgspec.json.Encoder().encode
