--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -144,8 +144,9 @@
         """Takes the member key and a new view together. A predecessor on this
         node is dead (a node runs one process), so its lease is not waited for."""
         view = self.view
-        members = {node: m.incarnation for node, m in self.e.replica.members.items()
-                   if node != self.node}
+        # Every member joins by writing the view, so the view just read names all;
+        # taking them from the watch instead would shut out those it lags behind.
+        members = dict(view.members) if view else {}
         members[self.node] = self.incarnation
         new = self._next_view(members)
         lease = self.lease
--- a/appledock/wire.py
+++ b/appledock/wire.py
@@ -18,7 +18,7 @@
 
 Amount = Annotated[float, Meta(ge=0, le=1e12)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
-Unsigned = Annotated[int, Meta(ge=0, lt=2**63)]
+Unsigned = Annotated[int, Meta(ge=0)]
 JobId = Annotated[str, Meta(pattern=r"\Ajob-[0-9]{1,18}\Z")]
 
 ARRAY, SERVICE = "batch", "daemon"
