--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -103,6 +103,10 @@
 """s; pause between two passes over the queue."""
 SAMPLE = 8
 """machines; looked at for each task, the design's starting value."""
+CLAIM_S = 4.0
+"""s; a machine being cleared for a job is kept for it this long."""
+LOST_WORK_WEIGHT = 0.25
+"""ratio; a second of thrown away work against a second of waiting."""
 EPSILON = 1e-6
 """cores; tolerance of decimal sums."""
 
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -114,6 +114,9 @@
         kind = message.get("kind")
         if kind in ("worker", "lapsed", "gone"):
             self.workers.on_peer(message)
+        elif kind == "stop":
+            self.steps.stop(str(message["job"]), str(message["machine"]),
+                            {int(task) for task in message["tasks"]})
         elif kind in ("rented", "cordon"):
             self.fleet.on_peer(message)
 
--- /dev/null
+++ b/appledock/core/preemption.py
@@ -0,0 +1,154 @@
+"""Making room by stopping tasks, exactly as far as the protocol allows.
+
+Work of a job may be stopped for a job of higher priority. The victims are
+those that lose least; their records are marked first (by their jobs' owners),
+then the worker is told, and the room is kept for the job it was made for.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement
+from appledock.core.events import PeerSend
+from appledock.core.jobs import Job
+from appledock.core.placement import Room
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """One task that could be stopped."""
+
+    job: Job
+    task: int
+    lost: float
+    """core seconds of work that stopping it throws away"""
+
+
+@dataclass(slots=True)
+class Claim:
+    """Room being made for a job."""
+
+    machine: str
+    until: float
+
+
+def choose(spec: wire.JobSpec, room: Room, victims: list[Victim]) -> list[Victim] | None:
+    """The cheapest victims, cheapest first, that make room for one task; None if
+    even all of them do not."""
+    cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
+    chosen: list[Victim] = []
+    for victim in sorted(victims, key=lambda v: (v.lost, v.job.id, v.task)):
+        if (cpus + c.EPSILON >= spec.cpus and gpus + c.EPSILON >= spec.gpus
+                and memory + c.EPSILON >= spec.memory_gb):
+            break
+        chosen.append(victim)
+        cpus += victim.job.spec.cpus
+        gpus += victim.job.spec.gpus
+        memory += victim.job.spec.memory_gb
+    fits = (cpus + c.EPSILON >= spec.cpus and gpus + c.EPSILON >= spec.gpus
+            and memory + c.EPSILON >= spec.memory_gb)
+    return chosen if fits and chosen else None
+
+
+class Preemption:
+    """Claims on machines and the victims that clear them."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.claims: dict[str, list[Claim]] = {}
+        """job -> machines being cleared for it"""
+
+    def refresh(self) -> None:
+        """Claims end: the room must not stay empty if the job went elsewhere."""
+        now = self.e.now
+        for job_id in list(self.claims):
+            job = self.e.replica.jobs.get(job_id)
+            left = [claim for claim in self.claims[job_id] if claim.until > now]
+            if left and job is not None and job.queued > 0:
+                self.claims[job_id] = left
+            else:
+                del self.claims[job_id]
+
+    def free_for(self, machine: str, job: Job) -> bool:
+        """Is the machine not being cleared for another job?"""
+        return all(claim.machine != machine for other, claims in self.claims.items()
+                   if other != job.id for claim in claims)
+
+    def placed(self, job_id: str, reserved: list[tuple[str, wire.JobSpec, int]]) -> None:
+        """A step was committed: its machines need no claim any more."""
+        machines = {machine for machine, _, _ in reserved}
+        left = [claim for claim in self.claims.get(job_id, ()) if claim.machine not in machines]
+        if left:
+            self.claims[job_id] = left
+        else:
+            self.claims.pop(job_id, None)
+
+    def victims(self, job: Job, room: Room) -> list[Victim]:
+        """Tasks on the machine that may be stopped for the job."""
+        worker = self.e.workers.table.get(room.machine)
+        result: list[Victim] = []
+        if worker is None:
+            return result
+        for other_id in self.e.replica.by_machine.get(room.machine, ()):
+            other = self.e.replica.jobs[other_id]
+            if other.spec.rank >= job.spec.rank or other.cancelled or other.spec.gang:
+                continue
+            for attempt in other.attempts:
+                if (attempt.machine != room.machine or attempt.stopping
+                        or attempt.session != room.session):
+                    continue
+                for task in attempt.tasks:
+                    key = (f"{other_id}/{task}", attempt.number)
+                    ran = self.e.now - worker.since.get(key, self.e.now)
+                    if other.spec.checkpoint_s > 0:
+                        ran = min(ran, other.spec.save_s)
+                    result.append(Victim(other, task, ran * max(other.spec.cpus, 0.1)))
+        return result
+
+    def make_room(self, job: Job, rooms: list[Room], count: int,
+                  zones: dict[str, int]) -> str | None:
+        """Clear machines of ours for up to `count` tasks; else name the controller
+        whose machines could be cleared."""
+        count -= len(self.claims.get(job.id, ()))
+        if count <= 0:
+            return None
+        cap = placement.zone_cap(job.spec)
+        held = {zone for zone, number in zones.items() if number}
+        options: list[tuple[float, str, Room, list[Victim]]] = []
+        for room in rooms:
+            if (not placement.allowed_on(job.spec, room) or zones.get(room.zone, 0) >= cap
+                    or (job.spec.one_zone and held and room.zone not in held)
+                    or not self.free_for(room.machine, job)
+                    or any(x.machine == room.machine for x in self.claims.get(job.id, ()))):
+                continue
+            chosen = choose(job.spec, room, self.victims(job, room))
+            if chosen is not None:
+                cost = placement.fetch_s(job.spec, room) + c.LOST_WORK_WEIGHT * sum(
+                    victim.lost for victim in chosen) / max(job.spec.cpus, 0.1)
+                options.append((cost, room.machine, room, chosen))
+        options.sort(key=lambda option: option[:2])
+        own = [option for option in options if option[2].owner == self.e.settings.name]
+        if not own:
+            return options[0][2].owner if options else None
+        for _, machine, _, chosen in own[:count]:
+            self.claims.setdefault(job.id, []).append(Claim(machine, self.e.now + c.CLAIM_S))
+            for victim in chosen:
+                self._stop(victim, machine)
+            if job.spec.one_zone or job.spec.spread:
+                break
+        return None
+
+    def _stop(self, victim: Victim, machine: str) -> None:
+        owner = self.e.replica.job_owner(victim.job)
+        if owner == self.e.settings.name:
+            self.e.steps.stop(victim.job.id, machine, {victim.task})
+        else:
+            self.e.emit(PeerSend({"kind": "stop", "job": victim.job.id, "machine": machine,
+                                  "tasks": [victim.task]}, owner))
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -116,7 +116,7 @@
         team = self.e.teams.get(spec.team)
         if team is None:
             return f"unknown team {spec.team}"
-        tasks = spec.tasks if spec.service else 1
+        tasks = 1 if spec.kind == wire.ARRAY else spec.tasks
         if not quota.need(spec, tasks).fits(quota.limit(team)):
             return "more than the team's limit"
         if not self.e.types:
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -12,6 +12,7 @@
 from appledock.core.events import Drop, Put, StoreReply, TxnPlan
 from appledock.core.jobs import Attempt, Job
 from appledock.core.placement import Room
+from appledock.core.preemption import Preemption
 from appledock.core.replica import FINAL, JOBS, TEAMS
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
         self.lost_since: dict[str, float] = {}
         self.blocked: dict[str, str] = {}
         """job -> why its queued tasks wait, for the administration API"""
+        self.preemption = Preemption(engine)
         self.next_queue = 0.0
         self.next_sweep = 0.0
 
@@ -92,6 +94,28 @@
         return worker is None or any(
             (f"{job.id}/{task}", attempt.number) not in worker.tasks for task in attempt.tasks)
 
+    # --- stopping ---------------------------------------------------------
+    def stop(self, job_id: str, machine: str, tasks: set[int]) -> None:
+        """Stop tasks of a job of ours on a machine: committed first, then halted."""
+        job = self.e.replica.jobs.get(job_id)
+        if job is None or job.cancelled or not self.e.owns_job(job) or not self._ready(job):
+            return
+        new = self.apply_evidence(job) or job.copy()
+        changed = False
+        for attempt in list(new.attempts):
+            hit = attempt.tasks & tasks
+            if attempt.machine != machine or attempt.stopping or not hit:
+                continue
+            changed = True
+            if hit == attempt.tasks:
+                attempt.stopping = True
+            else:
+                attempt.tasks -= hit
+                new.attempts.append(Attempt(machine, attempt.session, attempt.number,
+                                            attempt.term, True, hit))
+        if changed and self.e.membership.acting():
+            self._commit(job, new, Priority.STEP)
+
     # --- settling ---------------------------------------------------------
     def apply_evidence(self, job: Job) -> Job | None:
         """A copy of the job without its settled attempts; None if none is settled."""
@@ -160,6 +184,7 @@
             return
         rooms = self.e.rooms()
         own = [room for room in rooms if room.owner == self.e.settings.name]
+        self.preemption.refresh()
         full: set[tuple[object, ...]] = set()
         for job in sorted(waiting, key=self.urgency):
             if not self._ready(job):
@@ -177,6 +202,7 @@
 
     def _place(self, job: Job, rooms: list[Room], own: list[Room]) -> bool:
         """Request the job's next step, or hand it on; False if neither can be."""
+        own = [room for room in own if self.preemption.free_for(room.machine, job)]
         limits = self.e.teams.get(job.spec.team)
         if limits is None:
             self.blocked[job.id] = "unknown team"
@@ -184,11 +210,14 @@
         new = self.apply_evidence(job) or job.copy()
         record = self.e.replica.team(job.spec.team)
         most = quota.allowed(job.spec, limits, record, new.open_tasks)
-        gang = job.spec.service and job.spec.one_zone
+        gang = job.spec.gang
         count = min(new.queued, most, new.queued if gang else c.STEP_TASKS)
         if count <= 0 or (gang and count < new.queued):
             self.blocked[job.id] = "team limit"
             return False
+        if job.spec.kind == wire.GANG and new.attempts:
+            self.blocked[job.id] = "rest of the gang is not settled"
+            return False
         zones = self._zones(new)
         if zones is None and (job.spec.one_zone or job.spec.spread):
             self.blocked[job.id] = "machines of its running tasks unknown"
@@ -201,8 +230,11 @@
         left = count - sum(number for _, number in placed)
         handoff = self._hand_off(job, rooms, left, gang) if left else None
         if not placed and handoff is None:
-            self.blocked[job.id] = "no room"
-            return False
+            if not gang and zones is not None:
+                handoff = self.preemption.make_room(job, rooms, count, zones)
+            if handoff is None:
+                self.blocked[job.id] = "no room"
+                return False
         self.blocked.pop(job.id, None)
         tasks = new.queued_tasks(count - left)
         new.steps += 1
@@ -293,6 +325,7 @@
             if reply.outcome == "ok":
                 revision = reply.data.revision
                 self.written_at[job.id] = self.e.now
+                self.preemption.placed(job.id, reserved or [])
                 if over:
                     self.e.replica.put(FINAL + job.id, {"state": over}, revision)
                     self.e.replica.drop(JOBS + job.id, revision)
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -37,6 +37,8 @@
     lapsed: int = 0
     """this session and all before it are over"""
     tasks: dict[Key, wire.TaskReport] = field(default_factory=dict)
+    since: dict[Key, float] = field(default_factory=dict)
+    """when each task was first seen running here"""
     images: dict[str, float] = field(default_factory=dict)
     """image -> when it was last seen fetched here"""
     launched: dict[Key, float] = field(default_factory=dict)
@@ -144,6 +146,8 @@
             worker.images = {} if old is not None else worker.images
         if worker.uncertain:
             worker.uncertain = {k: t for k, t in worker.uncertain.items() if t >= report.token}
+        worker.since = {k: worker.since.get(k, now) for k, t in worker.tasks.items()
+                        if t.state == wire.RUNNING}
         for (task, _), entry in worker.tasks.items():
             if entry.state in (wire.RUNNING, wire.SAVING) or entry.why == wire.DONE:
                 job = self.e.replica.jobs.get(split_task(task)[0])
--- a/appledock/wire.py
+++ b/appledock/wire.py
@@ -21,7 +21,7 @@
 Unsigned = Annotated[int, Meta(ge=0)]
 JobId = Annotated[str, Meta(pattern=r"\Ajob-[0-9]{1,18}\Z")]
 
-ARRAY, SERVICE = "batch", "daemon"
+ARRAY, SERVICE, GANG = "batch", "daemon", "group"
 RANKS = {"production": 3, "urgent": 2, "standard": 1, "best_effort": 0}
 PENDING, RUNNING, DONE, CANCELLED = "pending", "running", "done", "withdrawn"
 FETCHING, SAVING, EXITED = "pulling", "saving", "exited"
@@ -45,7 +45,7 @@
     id: JobId
     job_class: Text = field(name="berth")
     team: Text = field(name="owner")
-    kind: Annotated[str, Meta(pattern=r"\A(batch|daemon)\Z")] = field(name="shape")
+    kind: Annotated[str, Meta(pattern=r"\A(batch|daemon|group)\Z")] = field(name="shape")
     priority: Annotated[str, Meta(pattern=r"\A(production|urgent|standard|best_effort)\Z")] = field(
         name="rank")
     tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="crates")
@@ -68,6 +68,11 @@
     def service(self) -> bool:
         return self.kind == SERVICE
 
+    @property
+    def gang(self) -> bool:
+        """Starts whole or not at all."""
+        return self.kind == GANG or (self.service and self.one_zone and self.tasks > 1)
+
     @property
     def rank(self) -> int:
         return RANKS[self.priority]
