Queue stops until the victim's record is free, so that cleared machines are whole

Cause: a machine is cleared by stopping two tasks, often of one job; the second stop was dropped while the first was being written, so claims ran out half done (seen in the log as up to seven clearings for one service).

--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Victim:
@@ -138,6 +141,8 @@
         if not own:
             return options[0][2].owner if options else None
         for _, machine, _, chosen in own[:count]:
+            log.info("%s clears %s of %s", job.id, machine,
+                     [f"{victim.job.id}/{victim.task}" for victim in chosen])
             self.claims.setdefault(job.id, []).append(Claim(machine, self.e.now + c.CLAIM_S))
             for victim in chosen:
                 self._stop(victim, machine)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from appledock import constants as c
 from appledock import wire
@@ -34,6 +34,8 @@
         self.retry_at: dict[str, float] = {}
         self.written_at: dict[str, float] = {}
         self.lost_since: dict[str, float] = {}
+        self.stops: dict[str, dict[str, set[int]]] = {}
+        """job -> machine -> tasks that are to be stopped there"""
         self.blocked: dict[str, str] = {}
         """job -> why its queued tasks wait, for the administration API"""
         self.preemption = Preemption(engine)
@@ -68,7 +70,9 @@
             self._place_all()
 
     def _clear(self, job_id: str) -> None:
-        for table in (self.retry_at, self.written_at, self.lost_since, self.blocked):
+        tables: tuple[dict[str, Any], ...] = (
+            self.retry_at, self.written_at, self.lost_since, self.blocked, self.stops)
+        for table in tables:
             table.pop(job_id, None)
 
     def _ready(self, job: Job) -> bool:
@@ -96,25 +100,30 @@
 
     # --- stopping ---------------------------------------------------------
     def stop(self, job_id: str, machine: str, tasks: set[int]) -> None:
-        """Stop tasks of a job of ours on a machine: committed first, then halted."""
-        job = self.e.replica.jobs.get(job_id)
-        if job is None or job.cancelled or not self.e.owns_job(job) or not self._ready(job):
-            return
-        new = self.apply_evidence(job) or job.copy()
+        """Stop tasks of a job on a machine: committed first, then halted.
+
+        Wishes wait while the job has a write under way; dropping them would
+        leave machines half cleared.
+        """
+        self.stops.setdefault(job_id, {}).setdefault(machine, set()).update(tasks)
+        self.dirty.add(job_id)
+
+    def _apply_stops(self, job: Job) -> bool:
+        """Mark what is to be stopped in this copy of the record."""
         changed = False
-        for attempt in list(new.attempts):
-            hit = attempt.tasks & tasks
-            if attempt.machine != machine or attempt.stopping or not hit:
-                continue
-            changed = True
-            if hit == attempt.tasks:
-                attempt.stopping = True
-            else:
-                attempt.tasks -= hit
-                new.attempts.append(Attempt(machine, attempt.session, attempt.number,
-                                            attempt.term, True, hit))
-        if changed and self.e.membership.acting():
-            self._commit(job, new, Priority.STEP)
+        for machine, tasks in self.stops.pop(job.id, {}).items():
+            for attempt in list(job.attempts):
+                hit = attempt.tasks & tasks
+                if attempt.machine != machine or attempt.stopping or not hit:
+                    continue
+                changed = True
+                if hit == attempt.tasks:
+                    attempt.stopping = True
+                else:
+                    attempt.tasks -= hit
+                    job.attempts.append(Attempt(machine, attempt.session, attempt.number,
+                                                attempt.term, True, hit))
+        return changed
 
     # --- settling ---------------------------------------------------------
     def apply_evidence(self, job: Job) -> Job | None:
@@ -147,6 +156,11 @@
             return
         new = self.apply_evidence(job)
         over = self._over(new or job)
+        if job.id in self.stops and not over:
+            stopped = new or job.copy()
+            if self._apply_stops(stopped):
+                self._commit(job, stopped, Priority.STEP)
+                return
         if new is None and not over:
             return
         self.e.queue_dirty = True
@@ -326,6 +340,11 @@
                 revision = reply.data.revision
                 self.written_at[job.id] = self.e.now
                 self.preemption.placed(job.id, reserved or [])
+                if reserved:
+                    log.info("%s step %d: %s%s", job.id, new.steps, ", ".join(
+                        f"{count} on {machine}" for machine, _, count in reserved),
+                        f", rest to {new.handoff[0]}" if new.handoff != job.handoff
+                        and new.handoff else "")
                 if over:
                     self.e.replica.put(FINAL + job.id, {"state": over}, revision)
                     self.e.replica.drop(JOBS + job.id, revision)
