A fresh leader keeps machines it has not heard of; only gangs are placed over all parts

Also the leader placed on its peers' machines while they did (launches refused as full). Ruled out: lapsed leases (5 of 52 losses).

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -132,6 +132,10 @@
 """ratio of boot time after which a machine is replaced and deleted."""
 BOOT_LATE_MIN_S = 20.0
 """s; no machine counts as late before."""
+LEADER_PAUSE_S = 1.0
+"""s; a new leader waits for its peers' pictures before it decides."""
+UNHEARD_S = 60.0
+"""s; a leader deletes machines said to run but never heard of after leading so long."""
 CORDON_S = 1.0
 """s; a machine is cordoned this long and still empty before it is deleted."""
 SILENT_DELETE_S = 1e9
@@ -145,7 +149,7 @@
 # --- Peers ----------------------------------------------------------------
 PEER_FRAME_MAX = 1_000_000
 """bytes; a longer netstring closes the link."""
-PEER_RETRY_S = 1.0
+PEER_RETRY_S = 0.4
 """s; pause before a lost link is dialled again."""
 PEER_RESEND_S = 5.0
 """s; unchanged worker pictures are sent again this often."""
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -76,7 +76,8 @@
     listing: bool = False
     reading_types: bool = False
     read_version: int = -1
-    led: bool = False
+    led_since: float | None = None
+    """when this controller began to lead, None while it does not"""
 
     # --- timers -----------------------------------------------------------
     def tick(self) -> None:
@@ -84,10 +85,15 @@
         if not self.e.loaded:
             return
         leader = self.e.membership.leader()
-        if leader and not self.led:
+        if leader and self.led_since is None:
+            self.led_since = now
             self.next_list = now
+            # The peers send their pictures first: a machine not heard of yet is
+            # neither late nor missing.
+            self.next_plan = now + c.LEADER_PAUSE_S
             self.returning.clear()
-        self.led = leader
+        if not leader:
+            self.led_since = None
         if now < self.cloud_pause:
             return
         if (leader or not self.e.types) and now >= self.next_types and not self.reading_types:
@@ -235,6 +241,17 @@
     def _late(self, kind: wire.MachineType | None) -> float:
         return max(c.BOOT_LATE_MIN_S, c.BOOT_LATE * (kind.boot_s if kind else 30.0))
 
+    def _stuck(self, name: str, kind: Kind, age: float) -> bool:
+        """Has the machine failed to come up? One listed as running may only be
+        unknown to this controller, which perhaps leads since a moment ago."""
+        if age <= self._late(self.e.types.get(kind[0])) or self.led_since is None:
+            return False
+        machine = self.listed.get(name)
+        if machine is not None and machine.state == wire.BOOTING:
+            return True
+        return (self.e.now - self.led_since > c.UNHEARD_S
+                and name not in self.e.replica.by_machine)
+
     def _plan(self) -> None:
         """Place the queue on what is up and booting; rent for what is left."""
         e = self.e
@@ -363,7 +380,7 @@
     def _return(self) -> None:
         e, now = self.e, self.e.now
         for name, (kind, age) in self.booting().items():
-            if age > self._late(e.types.get(kind[0])) and name not in self.returning:
+            if self._stuck(name, kind, age) and name not in self.returning:
                 log.warning("%s has not come up within %.0f s", name, age)
                 self.returning[name] = Returning(now - c.CORDON_S, "never came up", True)
         for name, worker in e.workers.table.items():
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -236,10 +236,10 @@
         if zones is None and (job.spec.one_zone or job.spec.spread):
             self.blocked[job.id] = "machines of its running tasks unknown"
             return False
-        leader = self.e.membership.leader()
         placed = placement.place(job.spec, count, own, self.e.rng, zones or {}, gang)
-        if not placed and leader:
-            # What fits no part is placed by the leader over all machines.
+        if gang and not placed and self.e.membership.leader():
+            # What fits no part is placed by the leader over all machines; the rest
+            # is handed on, or leader and owner would fill the same room twice.
             placed = placement.place(job.spec, count, rooms, self.e.rng, zones or {}, gang)
         left = count - sum(number for _, number in placed)
         handoff = self._hand_off(job, rooms, left, gang) if left else None
