--- a/appledock/adapters/store.py
+++ b/appledock/adapters/store.py
@@ -35,23 +35,23 @@
         self.watch = Client(host, port, most=2)
 
     async def run(self, call: StoreCall) -> StoreReply:
+        method, path, body = request(call)
+        client = self.watch if call.op == "watch" else self.calls
         try:
-            outcome, data = await self._run(call)
+            status, answer = await client.request(method, path, body, call.timeout)
         except NotSent as error:
             log.debug("state service: %s", error)
-            outcome, data = "refused", None
+            return StoreReply(call.tag, "refused")
         except NoAnswer as error:
             log.info("state service: %s: %s", call.op, error)
-            outcome, data = "unknown", None
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            log.error("malformed answer of the state service to %s: %s", call.op, error)
-            outcome, data = "unknown", None
-        return StoreReply(call.tag, outcome, data)
-
-    async def _run(self, call: StoreCall) -> tuple[str, Any]:
-        method, path, body, ok = self._request(call)
-        client = self.watch if call.op == "watch" else self.calls
-        status, answer = await client.request(method, path, body, call.timeout)
+            return StoreReply(call.tag, "unknown")
+        return StoreReply(call.tag, *classify(call, status, answer))
+
+
+def classify(call: StoreCall, status: int, answer: bytes) -> tuple[str, Any]:
+    """Outcome and data of an answer; a malformed one counts as unknown."""
+    ok = ANSWERS.get(call.op)
+    try:
         if status == 200:
             return "ok", msgspec.json.decode(answer, type=ok) if ok else None
         if status == 404:
@@ -64,31 +64,39 @@
         if status == 410:
             return "gone", None
         if status == 400:
-            log.error("state service refused %s %s: %s", call.op, path, answer[:200])
+            log.error("state service refused %s: %s", call.op, answer[:200])
             return "invalid", None
         if status in (429, 503):
             log.debug("state service: %d to %s", status, call.op)
             return "refused", None
-        log.error("state service answered %d to %s", status, call.op)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        log.error("malformed answer of the state service to %s: %s", call.op, error)
         return "unknown", None
+    log.error("state service answered %d to %s", status, call.op)
+    return "unknown", None
+
+
+ANSWERS: dict[str, Any] = {"txn": wire.Committed, "get": wire.Row, "list": wire.Rows,
+                           "watch": wire.Watched, "grant": wire.Grant}
+"""call -> type of a good answer"""
+
 
-    @staticmethod
-    def _request(call: StoreCall) -> tuple[str, str, bytes, Any]:
-        args = call.args
-        match call.op:
-            case "txn":
-                return "POST", "/txn", encode_txn(args[0]), wire.Committed
-            case "get":
-                return "GET", wire.path_of_key(args[0]), b"", wire.Row
-            case "list":
-                return "GET", wire.path_of_list(*args), b"", wire.Rows
-            case "watch":
-                return "GET", wire.path_of_watch(*args), b"", wire.Watched
-            case "grant":
-                return "POST", wire.path_of_grant(), wire.encode(
-                    wire.GrantRequest(args[0])), wire.Grant
-            case "touch":
-                return "POST", wire.path_of_touch(args[0]), b"", None
-            case "revoke":
-                return "DELETE", wire.path_of_grant(args[0]), b"", None
-        raise ValueError(call.op)
+def request(call: StoreCall) -> tuple[str, str, bytes]:
+    """Method, path and body of a call."""
+    args = call.args
+    match call.op:
+        case "txn":
+            return "POST", wire.PATH_TXN, encode_txn(args[0])
+        case "get":
+            return "GET", wire.path_of_key(args[0]), b""
+        case "list":
+            return "GET", wire.path_of_list(*args), b""
+        case "watch":
+            return "GET", wire.path_of_watch(*args), b""
+        case "grant":
+            return "POST", wire.path_of_grant(), wire.encode(wire.GrantRequest(args[0]))
+        case "touch":
+            return "POST", wire.path_of_touch(args[0]), b""
+        case "revoke":
+            return "DELETE", wire.path_of_grant(args[0]), b""
+    raise ValueError(call.op)
--- a/appledock/wire.py
+++ b/appledock/wire.py
@@ -36,6 +36,7 @@
 PATH_SHOW = "/show"
 PATH_TYPES = "/machine_types"
 PATH_MACHINES = "/machines"
+PATH_TXN = "/txn"
 PATH_DELETE = "/machines/delete"
 
 
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, written from the protocol alone."""
--- /dev/null
+++ b/tests/standins/judge.py
@@ -0,0 +1,97 @@
+"""A slow plain model of the rules: it watches what really happens."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tests.standins.clock import Clock
+
+
+class Judge:
+    """Notes every broken rule."""
+
+    def __init__(self, clock: Clock, limits: dict[str, float], cancel_s: float) -> None:
+        self.clock, self.limits, self.cancel_s = clock, limits, cancel_s
+        self.jobs: dict[str, dict[str, Any]] = {}
+        """what users submitted (first attempt made)"""
+        self.on: dict[str, dict[str, Any]] = {}
+        """task -> machine -> the machine's row, while the task is there"""
+        self.completed: dict[str, set[int]] = {}
+        self.accepted: dict[str, float] = {}
+        self.final: dict[str, tuple[str, float]] = {}
+        self.asked_cancel: set[str] = set()
+        self.broken: list[str] = []
+        self.starts = 0
+
+    def breaks(self, rule: str, what: str) -> None:
+        self.broken.append(f"{self.clock.now:.2f} {rule}: {what}")
+
+    def kinds(self) -> set[str]:
+        return {line.split()[1].rstrip(":") for line in self.broken}
+
+    # --- tasks ------------------------------------------------------------
+    def started(self, task: str, machine: dict[str, Any]) -> None:
+        self.starts += 1
+        job = self.jobs[task.split("/", maxsplit=1)[0]]
+        there = self.on.setdefault(task, {})
+        if any(name != machine["id"] for name in there):
+            self.breaks("ran_twice", f"{task} on {machine['id']} while on {list(there)}")
+        there[machine["id"]] = machine
+        used = sum(self.jobs[t.split("/")[0]]["cores"] * len(places)
+                   for t, places in self.on.items()
+                   if self.jobs[t.split("/")[0]]["owner"] == job["owner"])
+        if used > self.limits[job["owner"]] + 1e-6:
+            self.breaks("quota", f"{job['owner']} uses {used}")
+        if (job["hulls"] and machine["hull"] not in job["hulls"]) or (
+                job["quay"] and machine["quay"] != job["quay"]) or (
+                machine["standby"] and not job["standby"]):
+            self.breaks("wrong_place", f"{task} on {machine}")
+        zones = [place["quay"] for t, places in self.on.items()
+                 if t.split("/")[0] == job["id"] for place in places.values()]
+        if job["together"] and len(set(zones)) > 1:
+            self.breaks("wrong_place", f"{task} apart: {zones}")
+        if job["scatter"] and zones.count(machine["quay"]) > (job["crates"] + 1) // 2:
+            self.breaks("wrong_place", f"{task} not spread: {zones}")
+        self._check_cancelled(task)
+
+    def stopped(self, task: str, machine: str, done: bool) -> None:
+        there = self.on.get(task, {})
+        there.pop(machine, None)
+        if not there:
+            self.on.pop(task, None)
+        if done:
+            job, _, number = task.partition("/")
+            self.completed.setdefault(job, set()).add(int(number))
+
+    def _check_cancelled(self, task: str) -> None:
+        final = self.final.get(task.split("/", maxsplit=1)[0])
+        if final and final[0] == "withdrawn" and self.clock.now > final[1] + self.cancel_s:
+            self.breaks("ran_cancelled", task)
+
+    def look(self) -> None:
+        for task in self.on:
+            self._check_cancelled(task)
+
+    # --- users ------------------------------------------------------------
+    def answered(self, job: str, sent: float, status: int, state: str | None,
+                 poll: bool) -> None:
+        now = self.clock.now
+        if status in (200, 201):
+            if job not in self.jobs:
+                self.breaks("invented", job)
+            else:
+                self.accepted.setdefault(job, now)
+        elif job in self.accepted and self.accepted[job] <= sent and (
+                status in (400, 404, 422)):
+            self.breaks("forgotten", f"{job} answered {status}")
+        if state is None:
+            return
+        if state == "done" and len(self.completed.get(job, ())) < self.jobs[job]["crates"]:
+            self.breaks("not_done", job)
+        if state == "withdrawn" and job not in self.asked_cancel:
+            self.breaks("went_back", f"{job} was never cancelled")
+        final = self.final.get(job)
+        if final and final[1] <= sent and state != final[0]:
+            self.breaks("went_back", f"{job} was {final[0]}, is {state}")
+        if state in ("done", "withdrawn") and final is None:
+            self.final[job] = (state, now)
--- /dev/null
+++ b/tests/standins/state.py
@@ -0,0 +1,142 @@
+"""Stand-in for the state service."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from tests.standins.clock import Clock
+
+Answer = Callable[[int, Any], None]
+
+
+class State:
+    """Keys, leases, watches, limits and outages."""
+
+    def __init__(self, clock: Clock, write_rps: float = 20.0) -> None:
+        self.clock = clock
+        self.revision = 0
+        self.rows: dict[str, tuple[Any, int, int | None]] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.history: list[dict[str, Any]] = []
+        self.watchers: list[tuple[str, int, float, Answer]] = []
+        self.out_until = 0.0
+        self.shut_out: dict[str, float] = {}
+        self.write_rps, self.level, self.filled = write_rps, write_rps, 0.0
+        self.refused_writes = 0
+        self._sweep()
+
+    def _sweep(self) -> None:
+        now = self.clock.now
+        if now >= self.out_until:
+            for lease in [k for k, (end, _) in self.leases.items() if end <= now]:
+                self._end_lease(lease)
+            for watcher in [w for w in self.watchers if w[2] <= now]:
+                self.watchers.remove(watcher)
+                watcher[3](200, {"ledger": self.revision, "events": []})
+        self.clock.after(0.05, self._sweep)
+
+    def outage(self, seconds: float) -> None:
+        self.out_until = self.clock.now + seconds
+        self.leases = {k: (self.out_until + ttl, ttl) for k, (_, ttl) in self.leases.items()}
+
+    def _end_lease(self, lease: int) -> None:
+        del self.leases[lease]
+        keys = [key for key, row in self.rows.items() if row[2] == lease]
+        if keys:
+            self._apply([{"drop": key} for key in keys])
+
+    def _apply(self, writes: list[dict[str, Any]]) -> None:
+        self.revision += 1
+        for write in writes:
+            if "set" in write:
+                self.rows[write["set"]] = (write["data"], self.revision, write.get("permit"))
+                self.history.append({"set": write["set"], "data": write["data"],
+                                     "stamp": self.revision})
+            elif self.rows.pop(write["drop"], None) is not None:
+                self.history.append({"drop": write["drop"], "stamp": self.revision})
+        for watcher in list(self.watchers):
+            events = self._events(watcher[0], watcher[1])
+            if events:
+                self.watchers.remove(watcher)
+                watcher[3](200, {"ledger": self.revision, "events": events})
+
+    def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        return [event for event in self.history if event["stamp"] > since
+                and event.get("set", event.get("drop", "")).startswith(prefix)]
+
+    def request(self, node: str, method: str, path: str, body: bytes, answer: Answer) -> None:
+        if self.clock.now < max(self.out_until, self.shut_out.get(node, 0.0)):
+            answer(503, {"error": "trouble"})
+            return
+        url, _, query = path.partition("?")
+        args = {k: v[0] for k, v in parse_qs(query).items()}
+        if url == "/txn":
+            self._txn(json.loads(body), answer)
+        elif url == "/follow":
+            since = int(args["since"])
+            events = self._events(args["under"], since)
+            if events:
+                answer(200, {"ledger": self.revision, "events": events})
+            else:
+                self.watchers.append((args["under"], since,
+                                      self.clock.now + int(args["block_ms"]) / 1000, answer))
+        elif url == "/keys":
+            keys = sorted(k for k in self.rows
+                          if k.startswith(args["under"]) and k > args.get("since", ""))
+            page = keys[:int(args["limit"])]
+            answer(200, {"rows": [{"key": k, "data": self.rows[k][0], "stamp": self.rows[k][1]}
+                                  for k in page],
+                         "has_next": len(keys) > len(page), "ledger": self.revision})
+        elif url.startswith("/keys/"):
+            row = self.rows.get(url[6:])
+            if row is None:
+                answer(404, {"ledger": self.revision})
+            else:
+                answer(200, {"key": url[6:], "data": row[0], "stamp": row[1]})
+        else:
+            self._lease(method, url, body, answer)
+
+    def _lease(self, method: str, url: str, body: bytes, answer: Answer) -> None:
+        if url == "/grants":
+            ttl = json.loads(body)["life_ms"] / 1000
+            lease = len(self.history) + len(self.leases) + self.clock.count
+            self.leases[lease] = (self.clock.now + ttl, ttl)
+            answer(200, {"permit": lease})
+            return
+        lease = int(url.split("/")[2])
+        if lease not in self.leases:
+            answer(404, {})
+        elif method == "DELETE":
+            self._end_lease(lease)
+            answer(200, {})
+        else:
+            ttl = self.leases[lease][1]
+            self.leases[lease] = (self.clock.now + ttl, ttl)
+            answer(200, {})
+
+    def _txn(self, txn: dict[str, Any], answer: Answer) -> None:
+        assert len(txn["writes"]) <= 12 and len(txn["if"]) <= 48
+        assert all(len(json.dumps(w.get("data"))) <= 8192 for w in txn["writes"])
+        now = self.clock.now
+        self.level = min(self.write_rps, self.level + (now - self.filled) * self.write_rps)
+        self.filled = now
+        if len(txn["writes"]) > self.level:
+            self.refused_writes += 1
+            answer(429, {})
+            return
+        self.level -= len(txn["writes"])
+        if any(w.get("permit") is not None and w["permit"] not in self.leases
+               for w in txn["writes"]):
+            answer(400, {"error": "no such lease"})
+            return
+        failed = [c["key"] for c in txn["if"]
+                  if (self.rows[c["key"]][1] if c["key"] in self.rows else 0) != c["stamp"]]
+        if failed:
+            answer(409, {"failed": failed, "ledger": self.revision})
+            return
+        if txn["writes"]:
+            self._apply(txn["writes"])
+        answer(200, {"ledger": self.revision})
--- /dev/null
+++ b/tests/standins/world.py
@@ -0,0 +1,312 @@
+"""Three controllers, users and all stand-ins in simulated time."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from appledock import constants as c
+from appledock import wire
+from appledock.adapters import cloud as cloud_adapter
+from appledock.adapters import store as store_adapter
+from appledock.adapters import users
+from appledock.core import events as ev
+from appledock.core.engine import Engine
+from appledock.settings import Settings, parse
+from tests.standins.clock import Clock
+from tests.standins.judge import Judge
+from tests.standins.machines import LEASE_S, REPORT_S, Cloud, Worker
+from tests.standins.state import State
+
+CANCEL_S = 25.0
+TEAMS = {"red": (12.0, 24.0), "blue": (8.0, 20.0)}
+TYPES = [{"name": "h4", "cores": 4, "cards": 0, "memory_gb": 16, "local_gb": 50,
+          "pull_gb_per_s": 0.5, "hourly": 0.2, "market_price": 0.1, "boot_s": 5,
+          "quays": ["a", "b"]}]
+
+Answer = Callable[[int, Any], None]
+
+
+def settings(name: str, names: list[str]) -> Settings:
+    """The platform's file for one controller of the simulated cluster."""
+    return parse(json.dumps({
+        "node_name": name, "location": "a", "public_addr": "10.0.0.1:8080",
+        "back": "10.0.0.1:8081", "unknown": 1,
+        "peers": [{"node_name": n, "location": "a", "endpoint": "10.0.0.2:8081"}
+                  for n in names if n != name],
+        "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "cluster": {"size": len(names), "zones": ["a", "b"],
+                    "teams": [{"name": t, "cpus": g, "cpus_max": m, "gpus": 0, "gpus_max": 0}
+                              for t, (g, m) in TEAMS.items()],
+                    "objectives": [], "time_bound_ms": 100.0,
+                    "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": 30.0,
+                                "gang_peer_s": 5.0, "cancel_s": CANCEL_S},
+                    "state": {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12},
+                    "cloud": {"rps": 5.0, "list_lag_s": 3.0},
+                    "machine_limits": {"core_share": 0.4, "ram_mb": 186, "fd_limit": 1500}},
+    }).encode())
+
+
+class Node:
+    """One controller process; crashes lose everything it holds."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name, self.clock = world, name, world.clock
+        self.life = 0
+        self.up = False
+        self.drift = 1 + (self.clock.rng.random() - 0.5) * 0.001
+        self.boot()
+
+    def boot(self) -> None:
+        self.life += 1
+        self.up = True
+        rng = random.Random(self.clock.rng.random())
+        self.engine = Engine(settings(self.name, self.world.names),
+                             f"{self.name}.{self.life}", rng)
+        self.inbox: list[ev.Cmd] = []
+        self.answers: dict[int, Answer] = {}
+        self.asked = 0
+        for peer in self.world.names:
+            if peer != self.name:
+                self.inbox.append(ev.PeerOpened(peer))
+        for other in self.world.nodes.values():
+            if other is not self and other.up:
+                other.inbox.append(ev.PeerOpened(self.name))
+        self._tick(self.life)
+
+    def crash(self, seconds: float) -> None:
+        if self.up:
+            self.up = False
+            self.clock.after(seconds, self.boot)
+
+    def _tick(self, life: int) -> None:
+        if self.up and life == self.life:
+            self.push(ev.Tick())
+            self.clock.after(c.TICK_S, lambda: self._tick(life))
+
+    def push(self, command: ev.Cmd) -> None:
+        self.inbox.append(command)
+        if len(self.inbox) == 1 or isinstance(command, ev.Tick):
+            self.clock.after(0.0002, self._work)
+
+    def _work(self) -> None:
+        if not self.up or not self.inbox:
+            return
+        batch, self.inbox = self.inbox, []
+        life = self.life
+        for effect in self.engine.handle(batch, self.clock.now * self.drift,
+                                         1e9 + self.clock.now):
+            self._carry_out(effect, life)
+
+    def alive(self, life: int) -> bool:
+        return self.up and self.life == life
+
+    def _carry_out(self, effect: ev.Effect, life: int) -> None:
+        match effect:
+            case ev.Reply():
+                answer = self.answers.pop(effect.ask, None)
+                if answer is not None:
+                    answer(effect.status, json.loads(wire.encode(effect.body)))
+            case ev.StoreCall():
+                self._call("state", self.world.state.request, store_adapter.request(effect),
+                           effect.timeout, life, effect.tag, ev.StoreReply,
+                           lambda s, b: store_adapter.classify(effect, s, b))
+            case ev.CloudCall():
+                self._call("cloud", self.world.cloud.request, cloud_adapter.request(effect),
+                           effect.timeout, life, effect.tag, ev.CloudReply,
+                           lambda s, b: cloud_adapter.classify(effect, s, b))
+            case ev.WorkerCall():
+                self._order(effect, life)
+            case ev.PeerSend():
+                data = wire.encode(effect.message)
+                for peer in self.world.names:
+                    if peer != self.name and effect.to in (None, peer):
+                        self.clock.send(self.name, peer, lambda peer=peer: self.world.nodes[
+                            peer].receive(json.loads(data)))
+
+    def receive(self, message: dict[str, Any]) -> None:
+        if self.up:
+            self.push(ev.PeerMessage(message))
+
+    def _call(self, host: str, target: Any, request: tuple[str, str, bytes], timeout: float,
+              life: int, tag: int, reply: Any, classify: Any) -> None:
+        """A call: refused connections are not executed, held ones are, late."""
+        open_ = [True]
+
+        def finish(outcome: str, data: Any = None) -> None:
+            if open_[0] and self.alive(life):
+                open_[0] = False
+                self.push(reply(tag, outcome, data))
+
+        if self.clock.parted(self.name, host) and self.clock.rng.random() < 0.5:
+            self.clock.after(1.0, lambda: finish("refused"))
+            return
+        self.clock.after(timeout, lambda: finish("unknown"))
+
+        def answered(status: int, body: Any) -> None:
+            self.clock.send(host, self.name, lambda: finish(
+                *classify(status, json.dumps(body).encode())))
+
+        def arrive() -> None:
+            target(self.name, *request, answered)
+
+        late = self.world.late
+        if late and host == "state" and self.clock.rng.random() < late:
+            self.clock.after(self.clock.rng.random() * 20, arrive)
+        else:
+            self.clock.send(self.name, host, arrive)
+
+    def _order(self, call: ev.WorkerCall, life: int) -> None:
+        worker = next((w for w in self.world.cloud.workers.values()
+                       if w.row["addr"] == call.addr), None)
+        open_ = [True]
+
+        def finish(outcome: str, report: Any = None) -> None:
+            if open_[0] and self.alive(life):
+                open_[0] = False
+                self.push(ev.WorkerReply(call.tag, outcome, report))
+
+        name = worker.row["id"] if worker else "nobody"
+        if worker is None or (self.clock.parted(self.name, name)
+                              and self.clock.rng.random() < 0.3):
+            self.clock.after(1.0, lambda: finish("not_sent"))
+            return
+        self.clock.after(call.timeout, lambda: finish("unknown"))
+
+        def answered(status: int, body: Any) -> None:
+            report = msgspec.convert(body, wire.Report)
+            self.clock.send(name, self.name,
+                            lambda: finish("ok" if status == 200 else "stale", report))
+
+        def arrive(worker: Worker = worker) -> None:
+            if call.orders is None:
+                if worker.alive:
+                    answered(200, worker.report())
+            else:
+                worker.orders(json.loads(wire.encode(call.orders)), answered)
+
+        if call.orders is not None and self.clock.rng.random() < self.world.late_orders:
+            self.clock.after(1 + self.clock.rng.random() * 7, arrive)
+        else:
+            self.clock.send(self.name, name, arrive)
+
+    def request(self, method: str, path: str, body: bytes, answer: Answer) -> None:
+        self.asked += 1
+        try:
+            command = users.command(self.asked, method, path, body)
+        except users.Refused as refused:
+            answer(refused.status, {"error": refused.error})
+            return
+        self.answers[self.asked] = answer
+        self.push(command)
+
+
+class World:
+    """The whole simulated cluster."""
+
+    def __init__(self, seed: int, capacity: int = 12) -> None:
+        self.clock = Clock(seed)
+        self.names = ["n0", "n1", "n2"]
+        self.judge = Judge(self.clock, {t: m for t, (_, m) in TEAMS.items()}, CANCEL_S)
+        self.state = State(self.clock)
+        self.cloud = Cloud(self, TYPES, capacity)
+        self.late = 0.0
+        """share of the state service's requests that arrive up to 20 s late"""
+        self.late_orders = 0.0
+        """share of direct orders that arrive some seconds late"""
+        self.nodes: dict[str, Node] = {}
+        for name in self.names:
+            self.nodes[name] = Node(self, name)
+        self._look()
+
+    def _look(self) -> None:
+        self.judge.look()
+        self.clock.after(0.5, self._look)
+
+    # --- network to the controllers ---------------------------------------
+    def call_node(self, source: str, node: str, method: str, path: str, body: bytes,
+                  answer: Answer) -> None:
+        target = self.nodes[node]
+        if not target.up:
+            self.clock.after(0.01, lambda: answer(0, {}))
+            return
+        life = target.life
+
+        def arrive() -> None:
+            if target.alive(life):
+                target.request(method, path, body, lambda status, reply: self.clock.send(
+                    node, source, lambda: answer(status, reply)))
+
+        self.clock.send(source, node, arrive)
+
+    # --- users ------------------------------------------------------------
+    def spec(self, number: int) -> dict[str, Any]:
+        """A random job; `run_s` is known to the workers alone."""
+        rng = self.clock.rng
+        service = rng.random() < 0.3
+        spec = {"id": f"job-{number:06d}", "berth": "svc" if service else "arr",
+                "owner": rng.choice(list(TEAMS)), "shape": "daemon" if service else "batch",
+                "rank": "production" if service else rng.choice(["standard", "best_effort"]),
+                "crates": rng.randint(1, 3) if service else rng.randint(1, 12),
+                "cores": rng.choice([1.0, 2.0]), "cards": 0.0, "memory_gb": 2.0,
+                "cargo": f"img-{rng.randint(0, 2)}", "image_gb": 1.0, "hulls": None,
+                "quay": rng.choice([None, None, "a"]), "together": False, "scatter": False,
+                "standby": not service and rng.random() < 0.7, "eta_s": 5.0, "stow_s": 0.0,
+                "lash_s": 0.0, "sail_s": 60.0 if not service else None}
+        if spec["quay"] is None and rng.random() < 0.3:
+            spec[rng.choice(["together", "scatter"])] = True
+        spec["run_s"] = 1e9 if service else 2 + rng.random() * 8
+        return spec
+
+    def submit(self, spec: dict[str, Any], cancel_after: float | None = None) -> None:
+        job = spec["id"]
+        self.judge.jobs[job] = spec
+        body = json.dumps({k: v for k, v in spec.items() if k != "run_s"}).encode()
+        self._ask(job, "POST", "/v2/runs", body, (200, 201), lambda: self._poll(job))
+        if cancel_after is not None:
+            self.clock.after(cancel_after, lambda: self._cancel(job))
+
+    def _cancel(self, job: str) -> None:
+        if job not in self.judge.accepted:
+            self.clock.after(1.0, lambda: self._cancel(job))
+            return
+        self.judge.asked_cancel.add(job)
+        self._ask(job, "POST", f"/v2/runs/{job}/cancel", b"", (200,), None)
+
+    def _ask(self, job: str, method: str, path: str, body: bytes, good: tuple[int, ...],
+             then: Callable[[], None] | None) -> None:
+        up = [name for name in self.names if self.nodes[name].up]
+        sent = self.clock.now
+        open_ = [True]
+
+        def answered(status: int, reply: Any) -> None:
+            if not open_[0]:
+                return
+            open_[0] = False
+            if status:
+                self.judge.answered(job, sent, status, reply.get("status"), method == "GET")
+            if status in good:
+                if then:
+                    then()
+            elif status != 404 or good == (200,):
+                self.clock.after(1.0, lambda: self._ask(job, method, path, body, good, then))
+
+        if up:
+            self.call_node("user", self.clock.rng.choice(up), method, path, body, answered)
+        self.clock.after(2.0, lambda: answered(0, {}))
+
+    def _poll(self, job: str) -> None:
+        final = self.judge.final.get(job)
+        if final and self.clock.now > final[1] + 20:
+            return
+        self._ask(job, "GET", f"/v2/runs/{job}", b"", (200, 404), None)
+        self.clock.after(2.5, lambda: self._poll(job))
+
+    def unfinished(self) -> list[str]:
+        """Accepted arrays that are not over."""
+        return [job for job in self.judge.accepted if job not in self.judge.final
+                and self.judge.jobs[job]["shape"] != "daemon"]
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,75 @@
+"""The whole cluster under seeded faults, judged by a plain model of the rules."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.standins.world import World
+
+
+def play(seed: int, *faults: str, seconds: float = 150.0, jobs: int = 14) -> World:
+    """One simulated day: jobs in the first minute, faults until 90 s, then peace."""
+    world = World(seed)
+    clock, rng = world.clock, world.clock.rng
+    for number in range(jobs):
+        spec = world.spec(number)
+        cancel = 5 + rng.random() * 50 if (
+            spec["shape"] == "daemon" or rng.random() < 0.3) else None
+        clock.at(0.5 + rng.random() * 60, lambda s=spec, x=cancel: world.submit(s, x))
+    for time in range(8, 90, 6):
+        for fault in faults:
+            if rng.random() < 0.6:
+                clock.at(time + rng.random() * 5, lambda f=fault: strike(world, f))
+    if "late" in faults:
+        world.late = world.late_orders = 0.04
+        clock.at(90, lambda: setattr(world, "late", 0.0))
+    clock.run(seconds)
+    return world
+
+
+def strike(world: World, fault: str) -> None:
+    clock, rng = world.clock, world.clock.rng
+    node = rng.choice(world.names)
+    machines = sorted(world.cloud.workers)
+    match fault:
+        case "crash":
+            world.nodes[node].crash(rng.choice([0.2, 5.0]))
+        case "crash_all" if rng.random() < 0.3:
+            for each in world.nodes.values():
+                each.crash(3 + 4 * rng.random())
+        case "cut" if machines:
+            some = set(rng.sample(machines, min(len(machines), 3)))
+            apart = set(world.names) if rng.random() < 0.5 else {node}
+            clock.cut(some, apart, 2 + rng.random() * 25, rng.random() < 0.7)
+        case "peers":
+            clock.cut({node}, set(world.names) - {node}, 15 * rng.random(), rng.random() < 0.5)
+        case "isolate":
+            clock.cut({node}, {"state"}, 20 * rng.random(), True)
+        case "outage" if rng.random() < 0.4:
+            world.state.outage(3 + 12 * rng.random())
+        case "shut_out":
+            world.state.shut_out[node] = clock.now + 20 * rng.random()
+        case "cloud":
+            world.cloud.out_until = clock.now + 10 * rng.random()
+        case "die" if machines:
+            world.cloud.kill(rng.choice(machines))
+        case "hang" if machines:
+            world.cloud.workers[rng.choice(machines)].hung_until = clock.now + 14 * rng.random()
+
+
+@pytest.mark.parametrize(("seed", "faults"), [
+    (1, ()),
+    (2, ("crash",)),
+    (3, ("crash_all", "die")),
+    (4, ("cut", "hang")),
+    (5, ("late", "isolate")),
+    (6, ("outage", "shut_out", "crash")),
+    (7, ("peers", "cut", "late")),
+    (8, ("crash", "cut", "die", "hang", "late", "outage", "cloud", "isolate", "peers")),
+    (9, ("crash_all", "late", "cut", "outage", "die")),
+])
+def test_rules_hold_and_work_gets_done(seed: int, faults: tuple[str, ...]) -> None:
+    world = play(seed, *faults, seconds=210.0)
+    assert world.judge.broken == []
+    assert world.judge.starts > 30
+    assert world.unfinished() == []
