--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -316,6 +316,10 @@
         team, charge = job.spec.team, quota.charge(new)
         record = self.e.replica.team(team)
         charges: dict[str, list[float]] | None = None
+        if job.attempts or new.attempts:
+            # Also when the charge looks unchanged: an old copy of the team's record
+            # that happens to show the new charge would let the real one go wrong.
+            plan.conditions[TEAMS + team] = record.version
         if record.jobs.get(job.id) != charge:
             charges = {k: v for k, v in record.jobs.items() if k != job.id}
             if charge is not None:
