Answers of jobs that just ended are never 404; proofs of settlement are repeated; judge proven

Ruled out: late transactions. Each guard is removed in a test of its own and the judge notices every time.

--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -18,7 +18,7 @@
 from appledock.core.jobs import Job, split_task
 from appledock.core.membership import Membership
 from appledock.core.placement import Room
-from appledock.core.replica import FINAL, LIVE, Replica, View
+from appledock.core.replica import LIVE, Replica, View
 from appledock.core.requests import Requests
 from appledock.core.steps import Steps
 from appledock.core.workers import Worker, Workers
@@ -189,31 +189,33 @@
 
     def read_keys(self, keys: list[str], then: Callable[[], None] | None = None,
                   failed: Callable[[], None] | None = None) -> None:
-        """Read keys afresh into the replica, then go on; `failed` if one cannot be read."""
-        left = len(keys)
-        bad = False
+        """Read keys afresh into the replica, one after the other, then go on;
+        `failed` if one cannot be read.
 
-        def read(key: str) -> None:
-            def done(reply: ev.StoreReply) -> None:
-                nonlocal left, bad
-                left -= 1
-                if reply.outcome == "ok":
-                    self.replica.put(key, reply.data.value, reply.data.version)
-                elif reply.outcome == "missing":
-                    self.replica.drop(key, reply.data.revision)
-                else:
-                    bad = True
-                if left == 0:
-                    callback = failed if bad else then
-                    if callback is not None:
-                        callback()
-
-            self.store("get", (key,), Priority.USER, done)
-
-        for key in keys:
-            read(key)
-        if not keys and then is not None:
-            then()
+        The order matters: a job's open record is read before its final one. Read
+        at the same time, a job that ends in between shows in neither.
+        """
+        left = list(keys)
+
+        def step() -> None:
+            if left:
+                self.store("get", (left[0],), Priority.USER, done)
+            elif then is not None:
+                then()
+
+        def done(reply: ev.StoreReply) -> None:
+            key = left.pop(0)
+            if reply.outcome == "ok":
+                self.replica.put(key, reply.data.value, reply.data.version)
+            elif reply.outcome == "missing":
+                self.replica.drop(key, reply.data.revision)
+            else:
+                if failed is not None:
+                    failed()
+                return
+            step()
+
+        step()
 
     # --- picture of the state service -------------------------------------
     def _load(self) -> None:
@@ -252,9 +254,7 @@
             if reply.outcome == "ok":
                 for event in reply.data.events:
                     if event.put is not None:
-                        known = event.put.startswith(FINAL)
-                        if not known or event.put[len(FINAL):] in self.replica.jobs:
-                            self.replica.put(event.put, event.value, event.version)
+                        self.replica.put(event.put, event.value, event.version)
                     elif event.delete is not None:
                         self.replica.drop(event.delete, event.version)
                 self.replica.advance(reply.data.revision)
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -158,14 +158,19 @@
 
     def _poll(self, asked: Asked) -> None:
         if asked.job in self.e.replica.finals:
-            self._tell(asked)
+            self._tell(asked, False)
         else:
             self.polls.append(asked)
 
-    def _tell(self, asked: Asked) -> None:
+    def _tell(self, asked: Asked, absent: bool) -> None:
+        """Answer from the picture just proven. `absent`: if the job is not in it,
+        that was proven too. Without that it ended meanwhile and its final state
+        is not here yet: `no such job` would be wrong."""
         state = self.state(asked.job)
         if state is not None:
             self.answer(asked.ask, 200, state)
+        elif not absent:
+            self._read(asked)
         elif asked.refusal is not None:
             self.answer(asked.ask, 422, {"error": asked.refusal})
         elif asked.spec is not None:
@@ -184,7 +189,7 @@
             if asked.ask not in self.open:
                 continue
             if asked.job in self.e.replica.finals:
-                self._tell(asked)
+                self._tell(asked, False)
                 continue
             if len(conditions) + 2 > most:
                 rest.append(asked)
@@ -203,14 +208,14 @@
             self.proving = False
             if reply.outcome == "ok":
                 for asked in batch:
-                    self._tell(asked)
+                    self._tell(asked, FINAL + asked.job in conditions)
             elif reply.outcome == "conflict":
                 failed = set(reply.data.failed)
                 for asked in batch:
                     if JOBS + asked.job in failed or FINAL + asked.job in failed:
                         self._read(asked)
                     else:
-                        self._tell(asked)
+                        self._tell(asked, FINAL + asked.job in conditions)
             else:
                 for asked in batch:
                     self.refuse(asked.ask, "state service does not answer")
@@ -219,7 +224,7 @@
 
     def _read(self, asked: Asked) -> None:
         """The cached version was old: read both keys, then answer."""
-        self.e.read_keys([JOBS + asked.job, FINAL + asked.job], lambda: self._tell(asked),
+        self.e.read_keys([JOBS + asked.job, FINAL + asked.job], lambda: self._tell(asked, True),
                          lambda: self.refuse(asked.ask, "state service does not answer"))
 
     # --- cancel -----------------------------------------------------------
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -75,6 +75,7 @@
         self.wants_confirm = False
         self.orders_due: set[str] = set()
         self.start_bound = 0.0
+        self.next_remind = 0.0
 
     def get(self, name: str) -> Worker:
         worker = self.table.get(name)
@@ -312,6 +313,9 @@
         if not member.acting():
             return
         now = self.e.now
+        if now >= self.next_remind:
+            self.next_remind = now + c.PEER_RESEND_S
+            self._remind()
         lease = self.e.settings.cluster.workers.lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
         for machine in list(self.e.replica.by_machine):
             worker = self.get(machine)
@@ -339,6 +343,19 @@
                     and session_open(self.e, worker)):
                 self._show(worker)
 
+    def _remind(self) -> None:
+        """Proofs of settlement are repeated while attempts wait for them: the
+        first message may have been lost with its link."""
+        waiting = self.e.replica.by_machine
+        gone = [machine for machine in waiting if machine in self.gone]
+        if gone:
+            self.e.emit(PeerSend({"kind": "gone", "machines": gone}))
+        for machine in waiting:
+            worker = self.table.get(machine)
+            if worker is not None and worker.lapsed:
+                self.e.emit(PeerSend({"kind": "lapsed", "worker": machine,
+                                      "session": worker.lapsed}))
+
     def _show(self, worker: Worker) -> None:
         """Ask the worker itself: the owner may be unable to pass reports on."""
         assert worker.report is not None
--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -35,13 +35,14 @@
         if not self.alive:
             return
         now = self.clock.now
+        if now - self.renewed > LEASE_S:
+            # A hung machine too: it may go on only within its lease.
+            for key in list(self.tasks):
+                self._exit(key, "killed", gone=True)
+            self.tasks.clear()
+            self.session += 1
+            self.renewed, self.due = now, now
         if now >= self.hung_until:
-            if now - self.renewed > LEASE_S:
-                for key in list(self.tasks):
-                    self._exit(key, "killed", gone=True)
-                self.tasks.clear()
-                self.session += 1
-                self.renewed, self.due = now, now
             for key, task in list(self.tasks.items()):
                 if task["status"] == "pulling" and now >= task["at"]:
                     self._start(key)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,7 +7,8 @@
 from tests.standins.world import World
 
 
-def play(seed: int, *faults: str, seconds: float = 150.0, jobs: int = 14) -> World:
+def play(seed: int, *faults: str, seconds: float = 150.0, jobs: int = 14,
+         late_orders: float = 0.0) -> World:
     """One simulated day: jobs in the first minute, faults until 90 s, then peace."""
     world = World(seed)
     clock, rng = world.clock, world.clock.rng
@@ -20,6 +21,7 @@
         for fault in faults:
             if rng.random() < 0.6:
                 clock.at(time + rng.random() * 5, lambda f=fault: strike(world, f))
+    world.late_orders = late_orders
     if "late" in faults:
         world.late = world.late_orders = 0.04
         clock.at(90, lambda: setattr(world, "late", 0.0))
@@ -67,6 +69,10 @@
     (7, ("peers", "cut", "late")),
     (8, ("crash", "cut", "die", "hang", "late", "outage", "cloud", "isolate", "peers")),
     (9, ("crash_all", "late", "cut", "outage", "die")),
+    (1117, ("cloud", "crash", "hang", "late", "shut_out", "die", "cut", "outage")),
+    (1264, ("shut_out", "outage")),
+    (1445, ("cut", "crash", "cloud", "late")),
+    (1226, ("die", "hang", "isolate", "outage", "cloud", "peers", "late", "cut")),
 ])
 def test_rules_hold_and_work_gets_done(seed: int, faults: tuple[str, ...]) -> None:
     world = play(seed, *faults, seconds=210.0)
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,128 @@
+"""Proof that the judge can fail: each guard is removed, and the judge must notice."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from appledock import wire
+from appledock.core import placement, quota
+from appledock.core.engine import Engine
+from appledock.core.jobs import Attempt, Job
+from appledock.core.membership import Membership
+from appledock.core.replica import JOBS
+from appledock.core.requests import Requests
+from appledock.core.workers import Workers
+from tests.standins.world import World
+from tests.test_faults import play
+
+Patch = pytest.MonkeyPatch
+VERDICT = Workers.verdict
+
+
+def kinds(seeds: range, *faults: str, late_orders: float = 0.0) -> set[str]:
+    """Rules broken on some days, until one is."""
+    found: set[str] = set()
+    for seed in seeds:
+        found |= play(seed, *faults, seconds=110.0, late_orders=late_orders).judge.kinds()
+        if found:
+            break
+    return found
+
+
+def isolated_for_long() -> set[str]:
+    """Two controllers lose state service and peers, but not the workers, and the
+    third loses the workers."""
+    world = World(1)
+    for number in range(8):
+        spec = {**world.spec(number), "shape": "daemon", "crates": 2, "quay": None,
+                "together": False, "scatter": False, "run_s": 1e9, "standby": False}
+        world.clock.at(1.0 + number, lambda s=spec: world.submit(s))
+    for name in world.names[:2]:
+        world.clock.at(30.0, lambda n=name: world.clock.cut({n}, {"state", *(
+            x for x in world.names if x != n)}, 60.0, True))
+    world.clock.at(30.0, lambda: world.clock.cut(
+        set(world.cloud.workers), {world.names[2]}, 60.0, True))
+    world.clock.run(100.0)
+    return world.judge.kinds()
+
+
+def test_silence_taken_for_settlement(monkeypatch: Patch) -> None:
+    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
+        worker = self.table.get(attempt.machine)
+        if worker is not None and self.e.now - worker.heard_at > 3.0:
+            return "settled"
+        return VERDICT(self, job, attempt, task)
+
+    monkeypatch.setattr(Workers, "verdict", verdict)
+    assert "ran_twice" in kinds(range(10), "cut")
+
+
+def test_missing_taken_for_settlement_without_a_higher_term(monkeypatch: Patch) -> None:
+    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
+        worker = self.table.get(attempt.machine)
+        if (worker is not None and worker.session == attempt.session
+                and (f"{job.id}/{task}", attempt.number) not in worker.tasks):
+            return "settled"
+        return VERDICT(self, job, attempt, task)
+
+    monkeypatch.setattr(Workers, "verdict", verdict)
+    assert kinds(range(10), late_orders=0.3) & {"ran_twice", "quota"}
+
+
+def test_steps_without_the_job_version(monkeypatch: Patch) -> None:
+    store = Engine.store
+
+    def unconditional(self: Engine, op: str, args: tuple[Any, ...], *rest: Any) -> bool:
+        if op == "txn":
+            plan = args[0]
+            plan.conditions = {k: v for k, v in plan.conditions.items()
+                               if not (k.startswith(JOBS) and v)}
+        return store(self, op, args, *rest)
+
+    monkeypatch.setattr(Engine, "store", unconditional)
+    assert kinds(range(10), "late", "isolate") & {
+        "ran_cancelled", "went_back", "ran_twice", "forgotten", "quota"}
+
+
+def test_a_fenced_controller_that_still_writes_and_answers(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(Membership, "conditions", lambda self: {})
+    assert "ran_twice" not in isolated_for_long()
+    monkeypatch.setattr(Membership, "authority", lambda self: self.joined)
+    assert "ran_twice" in isolated_for_long()
+
+
+def test_steps_that_do_not_charge_the_team(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(quota, "charge", lambda job: None)
+    assert "quota" in kinds(range(10))
+
+
+def test_machines_taken_whatever_the_job_allows(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(placement, "allowed_on", lambda spec, room: True)
+    assert "wrong_place" in kinds(range(10))
+
+
+def test_answers_without_proof(monkeypatch: Patch) -> None:
+    def tell(self: Requests) -> None:
+        polls, self.polls = self.polls, []
+        for asked in polls:
+            self._tell(asked, True)
+
+    monkeypatch.setattr(Requests, "_prove", tell)
+    assert kinds(range(10), "isolate", "crash") & {"went_back", "forgotten"}
+
+
+def test_cancelled_jobs_that_are_never_halted(monkeypatch: Patch) -> None:
+    commands = Workers.commands
+    monkeypatch.setattr(Workers, "commands", lambda self, worker, direct: [
+        x for x in commands(self, worker, direct) if x.op != wire.HALT])
+    assert "ran_cancelled" in kinds(range(10))
+
+
+def test_done_before_all_tasks_are(monkeypatch: Patch) -> None:
+    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
+        return "done" if VERDICT(self, job, attempt, task) else None
+
+    monkeypatch.setattr(Workers, "verdict", verdict)
+    assert "not_done" in kinds(range(10), "die", "cut")
--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,111 @@
+"""Answers to users: small cases that a day rarely hits."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from appledock import wire
+from appledock.adapters import users
+from appledock.core import events as ev
+from appledock.core.engine import Engine
+from appledock.core.replica import FINAL, JOBS
+from tests.standins.world import settings
+
+SPEC = {"id": "job-000001", "berth": "svc", "owner": "red", "shape": "batch", "rank": "standard",
+        "crates": 2, "cores": 1.0, "cards": 0.0, "memory_gb": 1.0, "cargo": "img", "image_gb": 1.0,
+        "hulls": None, "quay": None, "together": False, "scatter": False, "standby": True,
+        "eta_s": 5.0, "stow_s": 0.0, "lash_s": 0.0, "sail_s": None}
+
+
+def engine() -> Engine:
+    e = Engine(settings("n0", ["n0", "n1", "n2"]), "x", random.Random(1))
+    e.loaded = True
+    e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
+    e.handle([], 100.0, 0.0)
+    return e
+
+
+def calls(effects: list[ev.Effect], op: str) -> list[ev.StoreCall]:
+    return [x for x in effects if isinstance(x, ev.StoreCall) and x.op == op]
+
+
+def spec(**changes: object) -> wire.JobSpec:
+    body = wire.encode({**SPEC, **changes})
+    command = users.command(1, "POST", "/v2/runs", body)
+    assert isinstance(command, ev.Submit)
+    return command.spec
+
+
+@pytest.mark.parametrize("change", [
+    {"id": "job-x"}, {"id": "job-1\n"}, {"id": 5}, {"crates": 0}, {"crates": 100_001},
+    {"crates": 1.5}, {"cores": -1}, {"cores": "8"}, {"shape": "other"}, {"rank": "high"},
+    {"together": 1}, {"hulls": "g8"}, {"cargo": ""}, {"eta_s": None}, {"crates": True},
+])
+def test_bad_submissions_are_refused_with_a_reason(change: dict[str, object]) -> None:
+    with pytest.raises(users.Refused) as refused:
+        spec(**change)
+    assert refused.value.status == 400
+    assert refused.value.error
+
+
+@pytest.mark.parametrize(("method", "path", "body", "status"), [
+    ("POST", "/v2/runs", b"{", 400), ("POST", "/v2/runs", b"[]", 400),
+    ("POST", "/v2/runs", b"\xff", 400), ("POST", "/v2/runs", b"{}", 400),
+    ("GET", "/v2/runs", b"", 405), ("GET", "/v2/runs/x", b"", 404), ("GET", "/nowhere", b"", 404),
+    ("DELETE", "/healthz", b"", 405), ("GET", "/v2/runs/job-1/cancel", b"", 405),
+    ("POST", "/v2/runs/job-1/stop", b"", 404), ("POST", "/agent/beat", b"{}", 400),
+])
+def test_bad_requests(method: str, path: str, body: bytes, status: int) -> None:
+    with pytest.raises(users.Refused) as refused:
+        users.command(1, method, path, body)
+    assert refused.value.status == status
+
+
+@pytest.mark.parametrize(("change", "never"), [
+    ({}, False), ({"owner": "nobody"}, True), ({"cores": 5.0}, True), ({"hulls": ["h9"]}, True),
+    ({"hulls": []}, True), ({"quay": "z"}, True), ({"crates": 100}, False),
+    ({"crates": 24, "shape": "daemon"}, False), ({"crates": 25, "shape": "daemon"}, True),
+])
+def test_what_can_never_run(change: dict[str, object], never: bool) -> None:
+    assert bool(engine().requests.verdict(spec(**change))) is never
+
+
+def test_unknown_fields_are_ignored_and_absent_is_null() -> None:
+    body = {k: v for k, v in SPEC.items() if v is not None}
+    assert users.command(1, "POST", "/v2/runs", wire.encode({**body, "new": 1})) == ev.Submit(
+        1, spec())
+
+
+def test_open_record_is_read_before_the_final_one() -> None:
+    """Read at the same time, a job ending in between showed in neither: 404."""
+    e = engine()
+    e.handle([ev.Cancel(1, "job-000001")], 100.0, 0.0)
+    effects = e.handle([ev.Tick()], 100.1, 0.0)
+    first = calls(effects, "get")
+    assert [x.args for x in first] == [(JOBS + "job-000001",)] or not first
+
+
+def test_end_seen_in_one_event_list_is_remembered() -> None:
+    """The drop of the open record came first, and the final state was ignored."""
+    e = engine()
+    e.watching = False
+    effects = e.handle([ev.Tick()], 101.0, 0.0)
+    watch, = calls(effects, "watch")
+    events = [wire.Event(7, delete=JOBS + "job-000001"),
+              wire.Event(7, put=FINAL + "job-000001", value={"state": "done"})]
+    e.handle([ev.StoreReply(watch.tag, "ok", wire.Watched(7, events))], 101.1, 0.0)
+    effects = e.handle([ev.Poll(5, "job-000001")], 101.2, 0.0)
+    reply, = (x for x in effects if isinstance(x, ev.Reply))
+    assert (reply.status, reply.body.state) == (200, "done")
+
+
+def test_given_up_requests_are_answered_at_once_with_retry_after() -> None:
+    e = engine()
+    effects = e.handle([ev.Submit(1, spec())], 100.0, 0.0)
+    txn, = calls(effects, "txn")
+    effects = e.handle([ev.StoreReply(txn.tag, "refused")], 100.01, 0.0)
+    reply, = (x for x in effects if isinstance(x, ev.Reply))
+    assert reply.status == 503
+    assert reply.headers == {"Retry-After": "1"}
