--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
 from appledock import constants as c
 from appledock import wire
 from appledock.core import events as ev
@@ -72,14 +70,18 @@
         for command in batch:
             try:
                 self._one(command)
-            except (KeyError, TypeError, ValueError, msgspec.ValidationError) as error:
-                # Bad input must never end the process.
+            except Exception as error:
+                # Bad input or a bug must never end the process, nor take the rest
+                # of the batch and its effects along.
                 log.exception("command %s failed: %s", type(command).__name__, error)
                 ask = getattr(command, "ask", None)
                 if ask is not None:
                     self.requests.open.pop(ask, None)
                     self.emit(ev.Reply(ask, 500, {"error": "internal error"}))
-        self._after()
+        try:
+            self._after()
+        except Exception:
+            log.exception("follow-up of a batch failed")
         effects, self.effects = self.effects, []
         return effects
 
