--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -1,7 +1,7 @@
 """Every constant of the service, with its unit and the reason for its value."""
 
 # --- Membership -----------------------------------------------------------
-GRANT_S = 10.0
+GRANT_S = 16.0
 """s; lease of a controller. The paper's (Kafka's default) grace period."""
 TOUCH_EVERY_S = 2.0
 """s; lease renewal and view confirmation. Five tries fit into one lease."""
@@ -101,10 +101,13 @@
 # --- Placement ------------------------------------------------------------
 QUEUE_EVERY_S = 0.1
 """s; pause between two passes over the queue."""
-SAMPLE = 8
-"""machines; looked at for each task, the design's starting value."""
+SAMPLE = 16
+"""machines; looked at for each task. The design starts with 8; images are often
+on few machines only, and small parts have about 16."""
 CLAIM_S = 4.0
 """s; a machine being cleared for a job is kept for it this long."""
+PREEMPT_MARGIN_S = 1.5
+"""s; clearing a machine, or passing a service on, must save at least this much waiting."""
 LOST_WORK_WEIGHT = 0.25
 """ratio; a second of thrown away work against a second of waiting."""
 EPSILON = 1e-6
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -448,9 +448,6 @@
             worker.cordoned = "faulty"
             self.e.emit(PeerSend({"kind": "cordon", "worker": machine, "why": "faulty"}))
 
-    def arrived(self, job: Job) -> None:
-        """A job was accepted here."""
-
     def on_peer(self, message: dict[str, Any]) -> None:
         if message["kind"] == "rented":
             type_, zone, spot = message["type"]
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -13,7 +13,7 @@
 
 from appledock import constants as c
 from appledock import wire
-from appledock.core import placement
+from appledock.core import placement, quota
 from appledock.core.events import PeerSend
 from appledock.core.jobs import Job
 from appledock.core.placement import Room
@@ -23,6 +23,8 @@
 
 log = logging.getLogger(__name__)
 
+NOTHING = quota.Amounts()
+
 
 @dataclass(frozen=True, slots=True)
 class Victim:
@@ -34,6 +36,15 @@
     """core seconds of work that stopping it throws away"""
 
 
+@dataclass(frozen=True, slots=True)
+class Option:
+    """A machine that could be cleared, and what that costs in seconds."""
+
+    cost: float
+    room: Room
+    victims: list[Victim]
+
+
 @dataclass(slots=True)
 class Claim:
     """Room being made for a job."""
@@ -42,22 +53,29 @@
     until: float
 
 
-def choose(spec: wire.JobSpec, room: Room, victims: list[Victim]) -> list[Victim] | None:
-    """The cheapest victims, cheapest first, that make room for one task; None if
-    even all of them do not."""
+def choose(spec: wire.JobSpec, room: Room, victims: list[Victim],
+           short: quota.Amounts = NOTHING) -> list[Victim] | None:
+    """The cheapest victims, cheapest first, that make room for one task and free
+    `short` of their team's limit; None if even all of them do not."""
     cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
     chosen: list[Victim] = []
+    freed = NOTHING
     for victim in sorted(victims, key=lambda v: (v.lost, v.job.id, v.task)):
-        if (cpus + c.EPSILON >= spec.cpus and gpus + c.EPSILON >= spec.gpus
-                and memory + c.EPSILON >= spec.memory_gb):
+        if _enough(spec, cpus, gpus, memory) and short.fits(freed):
             break
         chosen.append(victim)
         cpus += victim.job.spec.cpus
         gpus += victim.job.spec.gpus
         memory += victim.job.spec.memory_gb
-    fits = (cpus + c.EPSILON >= spec.cpus and gpus + c.EPSILON >= spec.gpus
+        freed = quota.Amounts(freed.cpus + victim.job.spec.cpus,
+                              freed.gpus + victim.job.spec.gpus)
+    good = _enough(spec, cpus, gpus, memory) and short.fits(freed)
+    return chosen if good and chosen else None
+
+
+def _enough(spec: wire.JobSpec, cpus: float, gpus: float, memory: float) -> bool:
+    return (cpus + c.EPSILON >= spec.cpus and gpus + c.EPSILON >= spec.gpus
             and memory + c.EPSILON >= spec.memory_gb)
-    return chosen if fits and chosen else None
 
 
 class Preemption:
@@ -115,41 +133,87 @@
                     result.append(Victim(other, task, ran * max(other.spec.cpus, 0.1)))
         return result
 
-    def make_room(self, job: Job, rooms: list[Room], count: int,
-                  zones: dict[str, int]) -> str | None:
-        """Clear machines of ours for up to `count` tasks; else name the controller
-        whose machines could be cleared."""
-        count -= len(self.claims.get(job.id, ()))
-        if count <= 0:
-            return None
-        cap = placement.zone_cap(job.spec)
+    def _options(self, job: Job, rooms: list[Room], zones: dict[str, int],
+                 within_team: bool) -> list[Option]:
+        """Machines that could be cleared for a task of the job, cheapest first."""
+        spec = job.spec
+        cap = placement.zone_cap(spec)
         held = {zone for zone, number in zones.items() if number}
-        options: list[tuple[float, str, Room, list[Victim]]] = []
+        short = self._short(job) if within_team else NOTHING
+        result = []
         for room in rooms:
-            if (not placement.allowed_on(job.spec, room) or zones.get(room.zone, 0) >= cap
-                    or (job.spec.one_zone and held and room.zone not in held)
+            if (not placement.allowed_on(spec, room) or zones.get(room.zone, 0) >= cap
+                    or (spec.one_zone and held and room.zone not in held)
                     or not self.free_for(room.machine, job)
                     or any(x.machine == room.machine for x in self.claims.get(job.id, ()))):
                 continue
-            chosen = choose(job.spec, room, self.victims(job, room))
+            victims = self.victims(job, room)
+            if within_team:
+                victims = [v for v in victims if v.job.spec.team == spec.team]
+            chosen = choose(spec, room, victims, short)
             if chosen is not None:
-                cost = placement.fetch_s(job.spec, room) + c.LOST_WORK_WEIGHT * sum(
-                    victim.lost for victim in chosen) / max(job.spec.cpus, 0.1)
-                options.append((cost, room.machine, room, chosen))
-        options.sort(key=lambda option: option[:2])
-        own = [option for option in options if option[2].owner == self.e.settings.name]
+                cost = placement.fetch_s(spec, room) + c.LOST_WORK_WEIGHT * sum(
+                    victim.lost for victim in chosen) / max(spec.cpus, 0.1)
+                result.append(Option(cost, room, chosen))
+        return sorted(result, key=lambda option: (option.cost, option.room.machine))
+
+    def _short(self, job: Job) -> quota.Amounts:
+        """What the team's limit lacks for one more task of the job."""
+        limits = self.e.teams[job.spec.team]
+        cpus, gpus = self.e.replica.team(job.spec.team).used()
+        return quota.Amounts(max(0.0, cpus + job.spec.cpus - limits.cpus_max),
+                             max(0.0, gpus + job.spec.gpus - limits.gpus_max))
+
+    def make_room(self, job: Job, rooms: list[Room], count: int, zones: dict[str, int],
+                  within_team: bool = False) -> str | None:
+        """Clear machines of ours for up to `count` tasks; else name the controller
+        whose machines could be cleared. `within_team`: the team's limit is what
+        lacks, so only its own work makes way."""
+        count -= len(self.claims.get(job.id, ()))
+        if count <= 0:
+            return None
+        options = self._options(job, rooms, zones, within_team)
+        own = [option for option in options if option.room.owner == self.e.settings.name]
         if not own:
-            return options[0][2].owner if options else None
-        for _, machine, _, chosen in own[:count]:
-            log.info("%s clears %s of %s", job.id, machine,
-                     [f"{victim.job.id}/{victim.task}" for victim in chosen])
-            self.claims.setdefault(job.id, []).append(Claim(machine, self.e.now + c.CLAIM_S))
-            for victim in chosen:
-                self._stop(victim, machine)
-            if job.spec.one_zone or job.spec.spread:
-                break
+            return options[0].room.owner if options else None
+        if job.spec.one_zone or job.spec.spread:
+            count = 1
+        for option in own[:count]:
+            self._clear(job, option)
         return None
 
+    def better(self, job: Job, rooms: list[Room], zones: dict[str, int]) -> str | None:
+        """Where a task of the job would wait least for its image, if that is not
+        on a free machine of ours: another controller's name, or our own when a
+        machine of ours is being cleared. None: place it as usual."""
+        if self.claims.get(job.id):
+            return None
+        spec, me = job.spec, self.e.settings.name
+        free = sorted((placement.fetch_s(spec, room), room.owner != me, room.machine, room.owner)
+                      for room in rooms if placement.allowed_on(spec, room) and room.fits(spec)
+                      and self.free_for(room.machine, job))
+        options = self._options(job, rooms, zones, False)
+        if not free and not options:
+            return None
+        if options and (not free or options[0].cost + c.PREEMPT_MARGIN_S < free[0][0]):
+            option = options[0]
+            if option.room.owner != me:
+                return option.room.owner
+            self._clear(job, option)
+            return me
+        own = [cost for cost, foreign, _, _ in free if not foreign]
+        if not own or free[0][0] + c.PREEMPT_MARGIN_S < own[0]:
+            return free[0][3] if free[0][3] != me else None
+        return None
+
+    def _clear(self, job: Job, option: Option) -> None:
+        machine = option.room.machine
+        log.info("%s clears %s of %s", job.id, machine,
+                 [f"{victim.job.id}/{victim.task}" for victim in option.victims])
+        self.claims.setdefault(job.id, []).append(Claim(machine, self.e.now + c.CLAIM_S))
+        for victim in option.victims:
+            self._stop(victim, machine)
+
     def _stop(self, victim: Victim, machine: str) -> None:
         owner = self.e.replica.job_owner(victim.job)
         if owner == self.e.settings.name:
--- a/appledock/core/quota.py
+++ b/appledock/core/quota.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from appledock import constants as c
@@ -56,6 +58,22 @@
     return max(0, count)
 
 
+def reserved_above(job: Job, jobs: Iterable[Job]) -> int:
+    """Tasks of this job's size that queued jobs of the same team with a higher
+    priority keep from it: what is freed for them must not be taken by others."""
+    cpus = gpus = 0.0
+    for other in jobs:
+        if (other.spec.team == job.spec.team and other.spec.rank > job.spec.rank
+                and other.queued > 0 and not other.failures):
+            more = need(other.spec, other.queued)
+            cpus, gpus = cpus + more.cpus, gpus + more.gpus
+    tasks = 0
+    for size, kept in ((job.spec.cpus, cpus), (job.spec.gpus, gpus)):
+        if size > 0:
+            tasks = max(tasks, math.ceil(kept / size - c.EPSILON))
+    return tasks
+
+
 def within_guarantee(spec: wire.JobSpec, limits: TeamLimits, record: Team, tasks: int) -> bool:
     """Would the team still be within its guarantee with `tasks` tasks of this job?"""
     cpus, gpus = record.used(without=spec.id)
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -140,7 +140,8 @@
                 job.version = reply.data.revision
                 self.e.replica.set_job(job)
                 self.e.queue_dirty = True
-                self.e.fleet.arrived(job)
+                log.info("%s accepted: %s of %s, %d tasks, %s", spec.id, spec.job_class, spec.team,
+                         spec.tasks, spec.image)
                 self.answer(asked.ask, 201, wire.JobState(spec.id, wire.PENDING))
             elif reply.outcome == "conflict":
                 self._read(asked)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -224,11 +224,16 @@
         new = self.apply_evidence(job) or job.copy()
         record = self.e.replica.team(job.spec.team)
         most = quota.allowed(job.spec, limits, record, new.open_tasks)
+        most -= quota.reserved_above(job, self.e.replica.jobs.values())
         gang = job.spec.gang
         count = min(new.queued, most, new.queued if gang else c.STEP_TASKS)
         if count <= 0 or (gang and count < new.queued):
             self.blocked[job.id] = "team limit"
-            return False
+            zones = self._zones(new)
+            if gang or zones is None:
+                return False
+            handoff = self.preemption.make_room(job, rooms, 1, zones, within_team=True)
+            return handoff is not None and self._hand_over(job, handoff)
         if job.spec.kind == wire.GANG and new.attempts:
             self.blocked[job.id] = "rest of the gang is not settled"
             return False
@@ -236,6 +241,14 @@
         if zones is None and (job.spec.one_zone or job.spec.spread):
             self.blocked[job.id] = "machines of its running tasks unknown"
             return False
+        if job.spec.service and not gang and zones is not None:
+            # A service is felt at once: wait for the image as little as can be.
+            better = self.preemption.better(job, rooms, zones)
+            if better == self.e.settings.name:
+                self.blocked[job.id] = "room is being made"
+                return False
+            if better is not None:
+                return self._hand_over(job, better)
         placed = placement.place(job.spec, count, own, self.e.rng, zones or {}, gang)
         if gang and not placed and self.e.membership.leader():
             # What fits no part is placed by the leader over all machines; the rest
@@ -268,6 +281,14 @@
         reserved = [(room.machine, job.spec, number) for room, number in placed]
         return self._commit(job, new, Priority.STEP, reserved)
 
+    def _hand_over(self, job: Job, node: str) -> bool:
+        """Pass a job on without placing anything."""
+        view = self.e.replica.view
+        assert view is not None
+        new = job.copy()
+        new.handoff = (node, view.members[node])
+        return self._commit(job, new, Priority.STEP)
+
     def _zones(self, job: Job) -> dict[str, int] | None:
         """Unsettled tasks by zone; None if a machine's zone is not known."""
         zones: dict[str, int] = {}
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -147,6 +147,10 @@
             worker.images = {} if old is not None else worker.images
         if worker.uncertain:
             worker.uncertain = {k: t for k, t in worker.uncertain.items() if t >= report.token}
+        for key, entry in worker.tasks.items():
+            if (entry.state == wire.RUNNING and key not in worker.since
+                    and self.e.replica.view is not None and self.owned(worker.id)):
+                log.debug("%s started on %s", entry.task, worker.id)
         worker.since = {k: worker.since.get(k, now) for k, t in worker.tasks.items()
                         if t.state == wire.RUNNING}
         for (task, _), entry in worker.tasks.items():
