--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -127,7 +127,7 @@
 """machines; the protocol's limits for one request."""
 NO_CAPACITY_S = 6.0
 """s; a type refused by the cloud is not asked for again before."""
-IDLE_RETURN_S = 20.0
+IDLE_RETURN_S = 10.0
 """s; an idle machine beyond the headroom is kept this long."""
 MIN_CHARGE_S = 60.0
 """s; every machine costs at least this, so returning it sooner saves nothing."""
