--- a/appledock/app.py
+++ b/appledock/app.py
@@ -16,6 +16,7 @@
 from appledock.adapters.workers import WorkerCalls
 from appledock.core import events as ev
 from appledock.core.engine import Engine
+from appledock.metrics import Metrics
 from appledock.net.http import Answer, Server
 from appledock.net.peers import PeerLink, PeerServer, frame
 from appledock.settings import Settings, split_address
@@ -34,6 +35,8 @@
         self.queue: list[ev.Cmd] = []
         self.scheduled = False
         self.answers: dict[int, Answer] = {}
+        self.sent: dict[int, tuple[str, float]] = {}
+        self.metrics = Metrics()
         self.asked = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.store = Store(*split_address(settings.external.state))
@@ -69,17 +72,24 @@
     def _work(self) -> None:
         self.scheduled = False
         batch, self.queue = self.queue, []
-        for effect in self.engine.handle(batch, self.loop.time(), time.time()):
+        since = self.loop.time()
+        effects = self.engine.handle(batch, since, time.time())
+        self.metrics.took("engine.batch", self.loop.time() - since)
+        for effect in effects:
             self._carry_out(effect)
 
     def _request(self, method: str, path: str, query: str, body: bytes, answer: Answer) -> None:
         self.asked += 1
+        if path == users.ADMIN + "metrics" and method == "GET":
+            answer(200, wire.encode(self.metrics.summary()), None)
+            return
         try:
             command = users.command(self.asked, method, path, body)
         except users.Refused as refused:
             answer(refused.status, wire.encode({"error": refused.error}), refused.headers)
             return
         self.answers[self.asked] = answer
+        self.sent[self.asked] = (type(command).__name__.lower(), self.loop.time())
         self.push(command)
 
     def _carry_out(self, effect: ev.Effect) -> None:
@@ -87,6 +97,8 @@
             case ev.Reply():
                 answer = self.answers.pop(effect.ask, None)
                 if answer is not None:
+                    kind, since = self.sent.pop(effect.ask)
+                    self.metrics.took(f"request.{kind}", self.loop.time() - since)
                     answer(effect.status, wire.encode(effect.body), effect.headers)
             case ev.StoreCall():
                 self._spawn(self._store(effect))
@@ -103,10 +115,17 @@
                 logging.getLogger().setLevel(effect.level.upper())
 
     async def _store(self, call: ev.StoreCall) -> None:
-        self.push(await self.store.run(call))
+        since = self.loop.time()
+        reply = await self.store.run(call)
+        if call.op != "watch":
+            self.metrics.took(f"state.{call.op}", self.loop.time() - since)
+        self.push(reply)
 
     async def _cloud(self, call: ev.CloudCall) -> None:
-        self.push(await self.cloud.run(call))
+        since = self.loop.time()
+        reply = await self.cloud.run(call)
+        self.metrics.took(f"cloud.{call.op}", self.loop.time() - since)
+        self.push(reply)
 
     async def _worker(self, call: ev.WorkerCall) -> None:
         self.push(await self.workers.run(call))
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -159,6 +159,12 @@
 PEER_BUFFER_MAX = 2_000_000
 """bytes; a link whose peer does not read is dropped beyond this."""
 
+# --- Metrics --------------------------------------------------------------
+LATENCY_MAX_US = 60_000_000
+"""us; longest latency that the histograms tell apart."""
+LATENCY_DIGITS = 2
+"""digits; precision of the histograms: about 20 KB each."""
+
 # --- Process --------------------------------------------------------------
 TICK_S = 0.05
 """s; how often the engine looks at its timers."""
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -1,35 +1,244 @@
-"""The administration API: what operators see and set."""
+"""The administration API: what operators see and set.
+
+Operators' settings live in the state service, are changed by conditional
+writes and take effect on every controller as soon as its watch shows them.
+"""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from appledock.core.events import Admin, Reply
+from appledock import constants as c
+from appledock.core.budget import Priority
+from appledock.core.events import Admin, Put, Reply, SetLogLevel, StoreReply, TxnPlan
+from appledock.core.replica import SETTINGS
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
 
+LEVELS = ("error", "info", "debug")
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One setting of the operators."""
+
+    default: float
+    least: float
+    most: float
+    unit: str
+    reason: str
+
+
+OPTIONS: dict[str, Option] = {
+    "idle_return_s": Option(c.IDLE_RETURN_S, 1, 3600, "s",
+                            "how long an idle machine is kept before it is returned"),
+    "step_tasks": Option(c.STEP_TASKS, 1, 1000, "tasks", "size of one step of an array"),
+    "sample": Option(c.SAMPLE, 1, 1000, "machines", "machines looked at for each task"),
+    "machines_max": Option(100_000, 0, 100_000, "machines",
+                           "the leader rents no more once so many are up or booting"),
+    "lost_work_weight": Option(c.LOST_WORK_WEIGHT, 0, 100, "ratio",
+                               "a second of thrown away work against a second of waiting"),
+}
+
+
+class BadSetting(ValueError):
+    """A value that cannot be taken; the text names field and range."""
+
+
+def checked(name: str, value: Any) -> float:
+    """The value of a setting, or BadSetting."""
+    option = OPTIONS.get(name)
+    if option is None:
+        raise BadSetting(f"{name}: unknown setting; known are {', '.join(sorted(OPTIONS))}")
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise BadSetting(f"{name}: a number is needed")
+    if not option.least <= value <= option.most:
+        raise BadSetting(f"{name}: allowed are {option.least:g} to {option.most:g} {option.unit}")
+    return value
+
 
 class AdminApi:
     """Answers operators from this controller's picture."""
 
     def __init__(self, engine: Engine) -> None:
         self.e = engine
+        self.values: dict[str, float] = {name: o.default for name, o in OPTIONS.items()}
 
-    def request(self, cmd: Admin) -> None:
-        if cmd.method == "GET" and cmd.path == ("status",):
-            self.e.emit(Reply(cmd.ask, 200, self.status()))
-        else:
-            self.e.emit(Reply(cmd.ask, 404, {"error": "no such path"}))
+    def __getitem__(self, name: str) -> float:
+        return self.values[name]
 
     def apply(self) -> None:
-        """Operators' settings changed."""
+        """The stored settings changed: what cannot be taken keeps its default."""
+        self.values = {name: option.default for name, option in OPTIONS.items()}
+        for name, value in self.e.replica.settings[1].items():
+            try:
+                self.values[name] = checked(name, value)
+            except BadSetting:
+                continue
+        self.e.queue_dirty = True
+
+    # --- requests ---------------------------------------------------------
+    def request(self, cmd: Admin) -> None:
+        match (cmd.method, *cmd.path):
+            case ("GET", "status"):
+                self._answer(cmd, self.status())
+            case ("GET", "jobs"):
+                self._answer(cmd, {"jobs": self.jobs()})
+            case ("GET", "machines"):
+                self._answer(cmd, {"machines": self.machines()})
+            case ("GET", "teams"):
+                self._answer(cmd, {"teams": self.teams()})
+            case ("GET", "settings"):
+                self._answer(cmd, self.settings())
+            case ("PATCH", "settings"):
+                self._change(cmd)
+            case ("POST", "machines", name, ("cordon" | "uncordon" | "drain") as action):
+                self._machine(cmd, name, action)
+            case ("PUT", "log-level"):
+                self._log_level(cmd)
+            case (_, "status" | "jobs" | "machines" | "teams" | "settings" | "log-level"):
+                self._answer(cmd, {"error": "method not allowed here"}, 405)
+            case _:
+                self._answer(cmd, {"error": "no such path"}, 404)
 
+    def _answer(self, cmd: Admin, body: Any, status: int = 200) -> None:
+        headers = {"Retry-After": str(c.RETRY_AFTER_S)} if status == 503 else None
+        self.e.emit(Reply(cmd.ask, status, body, headers))
+
+    # --- reading ----------------------------------------------------------
     def status(self) -> dict[str, Any]:
         e = self.e
         view = e.replica.view
-        return {"node": e.settings.name, "healthy": e.healthy(),
-                "authority": e.membership.authority(), "leader": view.leader if view else None,
-                "term": view.term if view else 0, "members": view.members if view else {},
-                "revision": e.replica.revision, "jobs": len(e.replica.jobs),
-                "machines": len(e.workers.table)}
+        budget = e.budget
+        return {
+            "node": e.settings.name, "healthy": e.healthy(), "authority": e.membership.authority(),
+            "leader": view.leader if view else None, "term": view.term if view else 0,
+            "members": view.members if view else {}, "overrides": view.overrides if view else {},
+            "revision": e.replica.revision, "jobs": len(e.replica.jobs),
+            "queued_tasks": sum(job.queued for job in e.replica.jobs.values()),
+            "machines": sum(w.report is not None for w in e.workers.table.values()),
+            "booting": len(e.fleet.booting()) if e.membership.leader() else None,
+            "calls_waiting": budget.size(), "users_waiting": len(e.requests.open),
+            "machine_types": sorted(e.types)}
+
+    def jobs(self) -> list[dict[str, Any]]:
+        e = self.e
+        rows = []
+        for job in sorted(e.replica.jobs.values(), key=lambda job: job.id):
+            rows.append({
+                "id": job.id, "class": job.spec.job_class, "team": job.spec.team,
+                "priority": job.spec.priority, "tasks": job.spec.tasks, "done": len(job.done),
+                "open": job.open_tasks, "queued": job.queued, "cancelled": job.cancelled,
+                "owner": e.replica.job_owner(job) if e.replica.view else None,
+                "failures": job.failures, "waits_for": e.steps.blocked.get(job.id),
+                "unsettled": [self._attempt(job, attempt) for attempt in job.attempts]})
+        return rows
+
+    def _attempt(self, job: Any, attempt: Any) -> dict[str, Any]:
+        """An attempt that is not settled, and what its settlement waits for."""
+        worker = self.e.workers.table.get(attempt.machine)
+        if worker is None or worker.report is None:
+            reason = "machine not heard of"
+        elif worker.report.session != attempt.session:
+            reason = "session change not recorded yet"
+        elif any((f"{job.id}/{task}", attempt.number) not in worker.tasks
+                 for task in attempt.tasks):
+            reason = "launch not seen"
+        else:
+            reason = "stopping" if attempt.stopping or job.cancelled else "running"
+        return {"machine": attempt.machine, "session": attempt.session, "attempt": attempt.number,
+                "term": attempt.term, "tasks": sorted(attempt.tasks), "state": reason}
+
+    def machines(self) -> list[dict[str, Any]]:
+        e = self.e
+        rows = []
+        free = {room.machine: room for room in e.rooms()} if e.replica.view else {}
+        for name in sorted(e.workers.table):
+            worker = e.workers.table[name]
+            report = worker.report
+            if report is None:
+                continue
+            room = free.get(name)
+            rows.append({
+                "id": name, "type": report.type, "zone": report.zone, "spot": report.spot,
+                "owner": e.replica.owner_of(name) if e.replica.view else None,
+                "session": report.session, "token": report.token,
+                "silent_s": round(e.now - worker.heard_at, 1), "notice_s": report.notice_s,
+                "cordoned": worker.cordoned or None,
+                "tasks": sum(t.state != "exited" for t in report.tasks),
+                "free_cpus": round(room.cpus, 3) if room else None})
+        return rows
+
+    def teams(self) -> list[dict[str, Any]]:
+        rows = []
+        for name, team in sorted(self.e.teams.items()):
+            cpus, gpus = self.e.replica.team(name).used()
+            rows.append({"name": name, "cpus_held": cpus, "cpus": team.cpus,
+                         "cpus_max": team.cpus_max, "gpus_held": gpus, "gpus": team.gpus,
+                         "gpus_max": team.gpus_max})
+        return rows
+
+    def settings(self) -> dict[str, Any]:
+        return {"version": self.e.replica.settings[0], "settings": {
+            name: {"value": self.values[name], "default": option.default, "least": option.least,
+                   "most": option.most, "unit": option.unit, "reason": option.reason}
+            for name, option in sorted(OPTIONS.items())}}
+
+    # --- changing ---------------------------------------------------------
+    def _change(self, cmd: Admin) -> None:
+        """`{"settings": {name: value or null}, "version": n}`; null: the default again.
+        With a version, a change made meanwhile by somebody else gives 409."""
+        body = cmd.body
+        if not isinstance(body, dict) or not isinstance(body.get("settings"), dict):
+            self._answer(cmd, {"error": "settings: an object is needed"}, 400)
+            return
+        version, stored = self.e.replica.settings
+        asked = body.get("version", version)
+        if isinstance(asked, bool) or not isinstance(asked, int):
+            self._answer(cmd, {"error": "version: an integer is needed"}, 400)
+            return
+        new = dict(stored)
+        try:
+            for name, value in body["settings"].items():
+                if value is None and name in OPTIONS:
+                    new.pop(name, None)
+                else:
+                    new[name] = checked(name, value)
+        except BadSetting as error:
+            self._answer(cmd, {"error": str(error)}, 400)
+            return
+
+        def done(reply: StoreReply) -> None:
+            if reply.outcome == "ok":
+                self.e.replica.put(SETTINGS, new, reply.data.revision)
+                self.apply()
+                self._answer(cmd, self.settings())
+            elif reply.outcome == "conflict":
+                self.e.read_keys([SETTINGS])
+                self._answer(cmd, {"error": "the settings were changed meanwhile"}, 409)
+            else:
+                self._answer(cmd, {"error": "state service does not answer"}, 503)
+
+        self.e.store("txn", (TxnPlan({SETTINGS: asked}, [Put(SETTINGS, new)]),), Priority.USER,
+                     done, c.REQUEST_DEADLINE_S)
+
+    def _machine(self, cmd: Admin, name: str, action: str) -> None:
+        worker = self.e.workers.table.get(name)
+        if worker is None or worker.report is None:
+            self._answer(cmd, {"error": f"no such machine: {name}"}, 404)
+            return
+        if not self.e.membership.acting():
+            self._answer(cmd, {"error": "this controller has no authority now"}, 503)
+            return
+        self.e.fleet.operate(name, action)
+        self._answer(cmd, {"id": name, "cordoned": worker.cordoned or None})
+
+    def _log_level(self, cmd: Admin) -> None:
+        level = cmd.body.get("level") if isinstance(cmd.body, dict) else None
+        if level not in LEVELS:
+            self._answer(cmd, {"error": f"level: one of {', '.join(LEVELS)}"}, 400)
+            return
+        self.e.emit(SetLogLevel(level))
+        self._answer(cmd, {"level": level})
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -73,6 +73,7 @@
     next_list: float = 0.0
     next_types: float = 0.0
     next_plan: float = 0.0
+    next_drain: float = 0.0
     listing: bool = False
     reading_types: bool = False
     read_version: int = -1
@@ -84,6 +85,9 @@
         now = self.e.now
         if not self.e.loaded:
             return
+        if self.e.membership.acting() and now >= self.next_drain:
+            self.next_drain = now + c.FLEET_EVERY_S
+            self._drain()
         leader = self.e.membership.leader()
         if leader and self.led_since is None:
             self.led_since = now
@@ -279,8 +283,13 @@
                 left -= fit
                 rooms.append(room)
                 wanted[cheapest] = wanted.get(cheapest, 0) + 1
+        room_left = int(e.admin["machines_max"]) - sum(
+            w.report is not None for w in e.workers.table.values()) - len(self.booting())
         for kind, count in wanted.items():
-            self._new_rent(kind, min(count, c.RENT_MAX))
+            number = min(count, c.RENT_MAX, room_left)
+            if number > 0:
+                room_left -= number
+                self._new_rent(kind, number)
 
     def _demand(self) -> list[tuple[Job, int]]:
         """Queued tasks that their teams' limits admit, most urgent first."""
@@ -386,7 +395,10 @@
         for name, worker in e.workers.table.items():
             if name in self.returning or worker.report is None or name in e.workers.gone:
                 continue
-            if (worker.idle_since and now - worker.idle_since > c.IDLE_RETURN_S
+            if worker.cordoned in ("drain", "faulty") and self.empty(name):
+                self._cordon(name, worker.cordoned)
+            elif (worker.idle_since and now - worker.idle_since > e.admin["idle_return_s"]
+                    and worker.cordoned != "operator"
                     and now - worker.heard_at < 5.0 and self.empty(name)):
                 self._cordon(name, "idle")
             elif worker.lapsed >= worker.session and now - worker.heard_at > c.SILENT_DELETE_S:
@@ -448,22 +460,48 @@
             worker.cordoned = "faulty"
             self.e.emit(PeerSend({"kind": "cordon", "worker": machine, "why": "faulty"}))
 
+    def operate(self, name: str, action: str) -> None:
+        """Cordon, release or drain a machine, as an operator asked."""
+        why = {"cordon": "operator", "uncordon": "", "drain": "drain"}[action]
+        self.e.emit(PeerSend({"kind": "cordon", "worker": name, "why": why}))
+        self._set_cordon(name, why)
+
+    def _set_cordon(self, name: str, why: str) -> None:
+        worker = self.e.workers.table.get(name)
+        if worker is not None:
+            worker.cordoned = why
+            self.e.queue_dirty = True
+
+    def _drain(self) -> None:
+        """Machines an operator wants emptied: work of ours is stopped with its
+        grace and moves on; the leader returns the machine once it is empty."""
+        for name, worker in self.e.workers.table.items():
+            if worker.cordoned != "drain":
+                continue
+            for job_id in self.e.replica.by_machine.get(name, ()):
+                job = self.e.replica.jobs[job_id]
+                tasks = {task for attempt in job.attempts if attempt.machine == name
+                         and not attempt.stopping for task in attempt.tasks}
+                if tasks and self.e.owns_job(job):
+                    self.e.steps.stop(job_id, name, tasks)
+
     def on_peer(self, message: dict[str, Any]) -> None:
         if message["kind"] == "rented":
             type_, zone, spot = message["type"]
             self._rented([str(name) for name in message["machines"]],
                          (str(type_), str(zone), bool(spot)))
         elif message["kind"] == "cordon":
-            worker = self.e.workers.table.get(str(message["worker"]))
-            if worker is not None:
-                worker.cordoned = str(message["why"])
-                self.e.queue_dirty = True
+            self._set_cordon(str(message["worker"]), str(message["why"]))
 
     def greet(self, name: str) -> None:
         """A link opened: the peer may lead soon and must know our rentals."""
         kinds: dict[Kind, list[str]] = {}
         for machine, rental in self.rentals.items():
             kinds.setdefault(rental.kind, []).append(machine)
+        for worker in self.e.workers.table.values():
+            if worker.cordoned:
+                self.e.emit(PeerSend({"kind": "cordon", "worker": worker.id,
+                                      "why": worker.cordoned}, name))
         for kind, machines in kinds.items():
             self.e.emit(PeerSend({"kind": "rented", "machines": machines, "type": list(kind)},
                                  name))
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -152,7 +152,7 @@
                 victims = [v for v in victims if v.job.spec.team == spec.team]
             chosen = choose(spec, room, victims, short)
             if chosen is not None:
-                cost = placement.fetch_s(spec, room) + c.LOST_WORK_WEIGHT * sum(
+                cost = placement.fetch_s(spec, room) + self.e.admin["lost_work_weight"] * sum(
                     victim.lost for victim in chosen) / max(spec.cpus, 0.1)
                 result.append(Option(cost, room, chosen))
         return sorted(result, key=lambda option: (option.cost, option.room.machine))
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -226,7 +226,7 @@
         most = quota.allowed(job.spec, limits, record, new.open_tasks)
         most -= quota.reserved_above(job, self.e.replica.jobs.values())
         gang = job.spec.gang
-        count = min(new.queued, most, new.queued if gang else c.STEP_TASKS)
+        count = min(new.queued, most, new.queued if gang else int(self.e.admin["step_tasks"]))
         if count <= 0 or (gang and count < new.queued):
             self.blocked[job.id] = "team limit"
             zones = self._zones(new)
@@ -249,7 +249,8 @@
                 return False
             if better is not None:
                 return self._hand_over(job, better)
-        placed = placement.place(job.spec, count, own, self.e.rng, zones or {}, gang)
+        placed = placement.place(job.spec, count, own, self.e.rng, zones or {}, gang,
+                                 int(self.e.admin["sample"]))
         if gang and not placed and self.e.membership.leader():
             # What fits no part is placed by the leader over all machines; the rest
             # is handed on, or leader and owner would fill the same room twice.
