--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -161,7 +161,9 @@
         self.effects.append(effect)
 
     def healthy(self) -> bool:
-        return self.loaded and self.membership.joined
+        """Can requests be taken? Without the machine types (first start ever)
+        no submission can be decided."""
+        return self.loaded and self.membership.joined and bool(self.types)
 
     # --- calls ------------------------------------------------------------
     def call(self, make: Callable[[int], ev.Effect], done: Callable[[Any], None]) -> None:
