--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -45,6 +45,8 @@
         self.queue_dirty = True
         self.value_bytes = int(settings.cluster.state.value_kb * 1024 * c.VALUE_SLACK)
         self.teams = {team.name: team for team in settings.cluster.teams}
+        self.deadline_times = sorted({objective.times for objective in settings.cluster.objectives
+                                      if objective.kind == "deadline" and objective.times}) or [1.0]
         self.types: dict[str, wire.MachineType] = {}
         self.acted_view: View | None = None
         self.tag = 0
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -187,8 +187,15 @@
         record = self.e.replica.team(job.spec.team)
         inside = limits is not None and quota.within_guarantee(
             job.spec, limits, record, job.open_tasks + job.queued)
-        slack = job.deadline() - self.e.wall - job.spec.estimate_s
-        return (0 if inside else 1, -job.spec.rank, slack, job.submitted)
+        if job.spec.deadline_s is None:
+            return (0 if inside else 1, -job.spec.rank, 0, job.submitted)
+        # More asked than can be done: first the class of jobs that can still meet
+        # their deadline, then a multiple of it that an aim names, then the rest;
+        # inside a class what is nearest to being finished.
+        elapsed = self.e.wall + job.spec.estimate_s - job.submitted
+        hope = sum(elapsed > job.spec.deadline_s * times for times in self.e.deadline_times)
+        left = (job.spec.tasks - len(job.done)) * max(job.spec.estimate_s, 1.0)
+        return (0 if inside else 1, -job.spec.rank, hope, left * max(job.spec.cpus, 0.1))
 
     def _place_all(self) -> None:
         replica = self.e.replica
