Mute machines with replicas are deleted before their lease would settle them

The leader asks a silent machine itself and deletes it after 3.3 report intervals; not within 8 s of a view change nor while many are silent.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -88,6 +88,8 @@
 """s; a command sent straight to a worker without an answer is uncertain."""
 SHOW_AFTER_S = 6.0
 """s; a worker not heard of this long is asked directly by a job's owner."""
+SHOW_TIMEOUT_S = 2.0
+"""s; such a question without an answer by then has failed."""
 SHOW_EVERY_S = 3.0
 """s; pause between such questions."""
 STOP_RESERVE_S = 5.0
@@ -141,8 +143,17 @@
 """s; a leader deletes machines said to run but never heard of after leading so long."""
 CORDON_S = 1.0
 """s; a machine is cordoned this long and still empty before it is deleted."""
-SILENT_DELETE_S = 1e9
-"""s; a machine silent this long is deleted."""
+SUSPECT_REPORTS = 2.0
+"""report intervals; a machine with replicas silent this long is asked directly."""
+MUTE_S = 3.3
+"""report intervals; silent this long and mute to the question, it is deleted:
+the confirmed deletion settles its tasks sooner than its lease would."""
+CALM_S = 8.0
+"""s; no machine is suspected so soon after a change of view or of authority."""
+CALM_SHARE = 0.6
+"""ratio; nor unless this part of the workers has been heard of lately."""
+SILENT_DELETE_S = 45.0
+"""s; any machine silent this long is deleted."""
 LOST_AFTER_S = 30.0
 """s; a rented machine neither listed nor heard of is forgotten after this
 plus twice the list lag."""
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -386,8 +386,34 @@
                        for machine, _, _ in entries)
         return not reserved and all(t.state == wire.EXITED for t in worker.report.tasks)
 
+    def _suspect(self) -> None:
+        """Replicas on a machine that fell silent come back sooner if the machine
+        is deleted than if its lease is waited for. Not while many are silent:
+        then the trouble is ours, or the network's."""
+        e, now = self.e, self.e.now
+        report_s = e.settings.cluster.workers.report_s
+        heard = [now - w.heard_at < 2 * report_s for w in e.workers.table.values() if w.report]
+        if (self.led_since is None or now - max(self.led_since, e.membership.term_at,
+                                                e.membership.acting_since) < c.CALM_S
+                or sum(heard) < c.CALM_SHARE * len(heard)):
+            return
+        for name, worker in e.workers.table.items():
+            silent = now - worker.heard_at
+            if (worker.report is None or name in self.returning or name in e.workers.gone
+                    or silent < c.SUSPECT_REPORTS * report_s
+                    or not any(e.replica.jobs[j].spec.service
+                               for j in e.replica.by_machine.get(name, ()))):
+                continue
+            if silent > c.MUTE_S * report_s and now - worker.mute_at < 2 * c.SHOW_EVERY_S and (
+                    worker.mute_at > worker.heard_at):
+                log.warning("%s silent for %.1f s and mute: deleting it", name, silent)
+                self.returning[name] = Returning(now - c.CORDON_S, "mute", True)
+            elif now >= worker.show_at and not worker.calling:
+                e.workers.show(worker)
+
     def _return(self) -> None:
         e, now = self.e, self.e.now
+        self._suspect()
         for name, (kind, age) in self.booting().items():
             if self._stuck(name, kind, age) and name not in self.returning:
                 log.warning("%s has not come up within %.0f s", name, age)
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -46,8 +46,8 @@
         self.want_term = False
         self.want_override: dict[str, str] = {}
         self.term_at = -1e9
-        self.acting_term = 0
-        """term last processed by the engine (see Engine.on_view)"""
+        self.acting_since = -1e9
+        """last moment without authority"""
 
     # --- state ------------------------------------------------------------
     @property
@@ -69,7 +69,10 @@
 
     def acting(self) -> bool:
         """Authority, and a picture that is complete up to the view."""
-        return self.authority() and self.e.replica.synced
+        acts = self.authority() and self.e.replica.synced
+        if not acts:
+            self.acting_since = self.e.now
+        return acts
 
     def leader(self) -> bool:
         return self.acting() and self.view is not None and self.view.leader == self.node
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -51,6 +51,8 @@
     calling: int = 0
     """direct calls in flight"""
     show_at: float = 0.0
+    mute_at: float = -1e9
+    """when a direct question last stayed without an answer"""
     strangers: tuple[float, int] = (0.0, 0)
     """since when, and how often, it came here although another owns it"""
     passed_on: float = -1e9
@@ -98,7 +100,8 @@
         owner = self.e.replica.owner_of(report.worker)
         worker = self.get(report.worker)
         if owner != self.e.settings.name:
-            self.learn(report)
+            if self.learn(report):
+                self.pass_on(worker)
             self._count_stranger(worker, owner)
             self.e.emit(Reply(ask, 421, wire.Redirect(owner)))
             return
@@ -345,7 +348,7 @@
             if (worker.report is not None and now - worker.heard_at > c.SHOW_AFTER_S
                     and now >= worker.show_at and not worker.calling
                     and session_open(self.e, worker)):
-                self._show(worker)
+                self.show(worker)
 
     def _remind(self) -> None:
         """Proofs of settlement are repeated while attempts wait for them: the
@@ -360,7 +363,7 @@
                 self.e.emit(PeerSend({"kind": "lapsed", "worker": machine,
                                       "session": worker.lapsed}))
 
-    def _show(self, worker: Worker) -> None:
+    def show(self, worker: Worker) -> None:
         """Ask the worker itself: the owner may be unable to pass reports on."""
         assert worker.report is not None
         worker.show_at = self.e.now + c.SHOW_EVERY_S
@@ -370,9 +373,13 @@
         def answered(reply: WorkerReply) -> None:
             worker.calling -= 1
             if reply.report is not None and reply.report.worker == worker.id:
-                self.learn(reply.report)
+                worker.mute_at = -1e9
+                if self.learn(reply.report):
+                    self.pass_on(worker)
+            else:
+                worker.mute_at = self.e.now
 
-        self.e.call(lambda tag: WorkerCall(tag, addr, None, c.ORDERS_TIMEOUT_S), answered)
+        self.e.call(lambda tag: WorkerCall(tag, addr, None, c.SHOW_TIMEOUT_S), answered)
 
     def set_lapsed(self, machine: str, session: int) -> None:
         worker = self.get(machine)
