--- a/appledock/adapters/store.py
+++ b/appledock/adapters/store.py
@@ -68,7 +68,7 @@
             return "invalid", None
         if status in (429, 503):
             log.debug("state service: %d to %s", status, call.op)
-            return "refused", None
+            return "refused", status
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         log.error("malformed answer of the state service to %s: %s", call.op, error)
         return "unknown", None
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -40,6 +40,16 @@
 """rows; page of a listing."""
 BUDGET_SHARE = 0.95
 """ratio; part of the state service's limits that the controllers plan to use."""
+WRITES_CEILING = 0.8
+"""ratio; most of the state service's writes that one controller tries for."""
+WRITES_MORE = 2.0
+"""writes/s per s; how fast it tries for more while writes wait."""
+WRITES_BACK = 0.6
+"""ratio; what a refusal leaves of the rate, down to the equal share."""
+CROWDED = 2
+"""calls; with more steps waiting, arrays gather completions before the next step."""
+GATHER_S = 1.0
+"""s; how long they gather."""
 TXN_BYTES = 60_000
 """bytes; the protocol allows 64 KiB; the rest is for headers and escapes."""
 VALUE_SLACK = 0.85
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -18,9 +18,11 @@
     LEASE = 0
     VIEW = 1
     USER = 2
-    FINAL = 3
-    STEP = 4
-    PROGRESS = 5
+    URGENT = 3
+    """steps of services, and stops that make room"""
+    FINAL = 4
+    STEP = 5
+    PROGRESS = 6
 
 
 @dataclass(slots=True)
@@ -40,6 +42,7 @@
 class Waiting:
     op: str
     args: tuple[Any, ...]
+    priority: Priority
     writes: int
     timeout: float
     done: Callable[[StoreReply], None]
@@ -48,28 +51,47 @@
 
 @dataclass(slots=True)
 class Budget:
-    """Queues of calls, one per priority, and the two buckets they draw from."""
+    """Queues of calls, one per priority, and the two buckets they draw from.
+
+    Each controller begins with its equal share of the writes. While writes wait
+    it tries for more, since the others may need less; a 429 takes it back
+    towards its share (additive increase, multiplicative decrease).
+    """
 
     requests: Bucket
     writes: Bucket
+    share: float = 0.0
+    """writes/s that are ours whatever the others do"""
+    ceiling: float = 0.0
+    """writes/s never planned beyond"""
     queues: list[deque[Waiting]] = field(default_factory=lambda: [deque() for _ in Priority])
 
     def size(self) -> int:
         return sum(len(queue) for queue in self.queues)
 
-    def add(self, priority: Priority, call: Waiting) -> bool:
+    def add(self, call: Waiting) -> bool:
         """False: the queue is full. Leases and views are always taken."""
-        if priority > Priority.VIEW and self.size() >= c.CALL_QUEUE_MAX:
+        if call.priority > Priority.VIEW and self.size() >= c.CALL_QUEUE_MAX:
             return False
-        self.queues[priority].append(call)
+        self.queues[call.priority].append(call)
         return True
 
+    def limited(self) -> None:
+        """The state service refused writes as too many."""
+        self.writes.rate = max(self.share, self.writes.rate * c.WRITES_BACK)
+        self.writes.level = min(self.writes.level, 0.0)
+
+    def waiting(self, priority: Priority) -> int:
+        """Calls of this priority or a more urgent one that wait."""
+        return sum(len(queue) for queue in self.queues[:priority + 1])
+
     def due(self, now: float) -> tuple[list[Waiting], list[Waiting]]:
         """Calls that may go now, and calls that waited too long.
 
         A call that lacks writes holds back writes of lower priority, but not
         reads: otherwise a large transaction would never get its turn.
         """
+        elapsed = now - self.writes.at
         self.requests.refill(now)
         self.writes.refill(now)
         send: list[Waiting] = []
@@ -91,4 +113,6 @@
                     blocked = blocked or bool(call.writes)
                     kept.append(call)
             self.queues[priority] = kept
+        if blocked and self.writes.rate < self.ceiling:
+            self.writes.rate = min(self.ceiling, self.writes.rate + elapsed * c.WRITES_MORE)
         return send, expired
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -53,7 +53,9 @@
         self.callbacks: dict[int, Callable[[Any], None]] = {}
         share = c.BUDGET_SHARE / settings.cluster.size
         self.budget = Budget(Bucket(settings.cluster.state.rps * share),
-                             Bucket(settings.cluster.state.write_rps * share))
+                             Bucket(settings.cluster.state.write_rps * share),
+                             settings.cluster.state.write_rps * share,
+                             settings.cluster.state.write_rps * c.WRITES_CEILING)
         self.replica = Replica()
         self.membership = Membership(self)
         self.workers = Workers(self)
@@ -179,8 +181,8 @@
         """Queue a call to the state service; `done` is called in any case."""
         writes = len(args[0].writes) if op == "txn" else 0
         timeout = c.FOLLOW_TIMEOUT_S if op == "watch" else c.STORE_TIMEOUT_S
-        queued = self.budget.add(priority, Waiting(op, args, writes, timeout, done,
-                                                   self.now + patience))
+        queued = self.budget.add(Waiting(op, args, priority, writes, timeout, done,
+                                         self.now + patience))
         if not queued:
             done(ev.StoreReply(0, "refused"))
         return queued
@@ -188,11 +190,22 @@
     def _drain(self) -> None:
         send, expired = self.budget.due(self.now)
         for call in send:
-            self.call(lambda tag, call=call: ev.StoreCall(  # type: ignore[misc]
-                tag, call.op, call.args, call.timeout), call.done)
+            self._send(call)
         for call in expired:
             call.done(ev.StoreReply(0, "refused"))
 
+    def _send(self, call: Waiting) -> None:
+        def done(reply: ev.StoreReply) -> None:
+            if reply.outcome == "refused" and reply.data == 429 and call.writes:
+                # Not executed, and only the pace was wrong: its turn comes again.
+                self.budget.limited()
+                if self.now < call.expires:
+                    self.budget.queues[call.priority].appendleft(call)
+                    return
+            call.done(reply)
+
+        self.call(lambda tag: ev.StoreCall(tag, call.op, call.args, call.timeout), done)
+
     def read_keys(self, keys: list[str], then: Callable[[], None] | None = None,
                   failed: Callable[[], None] | None = None) -> None:
         """Read keys afresh into the replica, one after the other, then go on;
--- a/appledock/core/events.py
+++ b/appledock/core/events.py
@@ -51,7 +51,8 @@
 
 @dataclass(slots=True)
 class StoreReply:
-    """`outcome`: ok, conflict, missing, refused (not executed), gone (watch too
+    """`outcome`: ok, conflict, missing, refused (not executed; the data may be the
+    status), gone (watch too
     old), expired (no such lease), invalid, or unknown (may be executed yet)."""
 
     tag: int
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -159,7 +159,7 @@
         if job.id in self.stops and not over:
             stopped = new or job.copy()
             if self._apply_stops(stopped):
-                self._commit(job, stopped, Priority.STEP)
+                self._commit(job, stopped, Priority.URGENT)
                 return
         if new is None and not over:
             return
@@ -207,8 +207,10 @@
         own = [room for room in rooms if room.owner == self.e.settings.name]
         self.preemption.refresh()
         full: set[tuple[object, ...]] = set()
+        crowded = self.e.budget.waiting(Priority.STEP) > c.CROWDED
         for job in sorted(waiting, key=self.urgency):
-            if not self._ready(job):
+            if not self._ready(job) or (crowded and not job.spec.service and self.e.now
+                                        < self.written_at.get(job.id, -1e9) + c.GATHER_S):
                 self.e.queue_dirty = True
                 continue
             spec = job.spec
@@ -262,6 +264,9 @@
             # What fits no part is placed by the leader over all machines; the rest
             # is handed on, or leader and owner would fill the same room twice.
             placed = placement.place(job.spec, count, rooms, self.e.rng, zones or {}, gang)
+        if not placed and self.preemption.claims.get(job.id):
+            self.blocked[job.id] = "room is being made"
+            return False
         left = count - sum(number for _, number in placed)
         handoff = self._hand_off(job, rooms, left, gang) if left else None
         if not placed and handoff is None:
@@ -287,7 +292,11 @@
             self.blocked[job.id] = "record full"
             return False
         reserved = [(room.machine, job.spec, number) for room, number in placed]
-        return self._commit(job, new, Priority.STEP, reserved)
+        return self._commit(job, new, self._priority(job), reserved)
+
+    @staticmethod
+    def _priority(job: Job) -> Priority:
+        return Priority.URGENT if job.spec.service else Priority.STEP
 
     def _hand_over(self, job: Job, node: str) -> bool:
         """Pass a job on without placing anything."""
@@ -295,7 +304,7 @@
         assert view is not None
         new = job.copy()
         new.handoff = (node, view.members[node])
-        return self._commit(job, new, Priority.STEP)
+        return self._commit(job, new, self._priority(job))
 
     def _zones(self, job: Job) -> dict[str, int] | None:
         """Unsettled tasks by zone; None if a machine's zone is not known."""
