--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,245 @@
+"""Placement, quota, preemption, budget: against plain references and on small cases."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement, preemption, quota
+from appledock.core.budget import Bucket, Budget, Priority, Waiting
+from appledock.core.fleet import Fleet
+from appledock.core.jobs import Attempt, Job, decode
+from appledock.core.placement import Room
+from appledock.core.replica import JOBS, TEAMS, Replica, Team, View
+from appledock.settings import Team as TeamLimits
+from tests.test_requests import engine, spec
+
+KIND = wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"], fetch_gb_per_s=0.5)
+BIG = wire.MachineType("h8", 8, 16, 0.3, 0.2, 5, ["a"], fetch_gb_per_s=0.5)
+
+
+def room(name: str, cpus: float, zone: str = "a", spot: bool = False, memory: float = 16,
+         images: frozenset[str] = frozenset()) -> Room:
+    return Room(name, KIND, zone, spot, 1, cpus, 0, memory, images)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 4), st.sampled_from("ab"), st.booleans(),
+                          st.integers(0, 8)), max_size=6),
+       st.integers(1, 12), st.integers(1, 3), st.booleans(), st.booleans(), st.booleans(),
+       st.booleans(), st.sampled_from([None, "a", "b"]), st.integers(1, 20))
+def test_placement_keeps_every_limit(rows: list[tuple[int, str, bool, int]], tasks: int,
+                                     size: int, together: bool, scatter: bool, spot: bool,
+                                     whole: bool, zone: str | None, sample: int) -> None:
+    job = spec(crates=tasks, cores=float(size), memory_gb=2.0, together=together, scatter=scatter,
+               standby=spot, quay=zone)
+    rooms = [room(f"m{i}", cpus, z, s, mem) for i, (cpus, z, s, mem) in enumerate(rows)]
+    before = {r.machine: (r.cpus, r.memory_gb) for r in rooms}
+    fits = {r.machine: r.count(job) if (spot or not r.spot) and zone in (None, r.zone) else 0
+            for r in rooms}
+    placed = placement.place(job, tasks, rooms, random.Random(1), {}, whole, sample)
+    count = {r.machine: n for r, n in placed}
+    zones: dict[str, int] = {}
+    for r, n in placed:
+        assert 0 < n <= fits[r.machine]
+        zones[r.zone] = zones.get(r.zone, 0) + n
+    total = sum(count.values())
+    assert total <= tasks
+    assert not together or len(zones) <= 1
+    assert not scatter or max(zones.values(), default=0) <= (tasks + 1) // 2
+    assert not whole or total in (0, tasks)
+    for r in rooms:
+        taken = count.get(r.machine, 0)
+        assert r.cpus == before[r.machine][0] - size * taken
+        assert r.memory_gb == before[r.machine][1] - 2 * taken
+    if not whole:  # the plain reference: how many fit at most
+        cap = (tasks + 1) // 2 if scatter else tasks
+        by_zone = [min(cap, sum(fits[r.machine] for r in rooms if r.zone == z)) for z in "ab"]
+        best = max(by_zone) if together else sum(by_zone)
+        assert total == min(tasks, best)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(st.integers(0, 5), max_size=4), st.integers(0, 5), st.integers(1, 4),
+       st.integers(0, 20))
+def test_quota_against_counting_one_by_one(others: list[int], held: int, size: int,
+                                           most: int) -> None:
+    job = spec(crates=10, cores=float(size))
+    record = Team(1, {f"job-{i}": [float(n), 0.0] for i, n in enumerate(others)})
+    record.jobs[job.id] = [99.0, 0.0]  # the job's own charge is replaced, not added
+    plain = 0
+    while plain < 10 and sum(others) + (held + plain + 1) * size <= most:
+        plain += 1
+    assert quota.allowed(job, TeamLimits("red", 0, most), record, held) == plain
+
+
+def test_queued_work_of_higher_rank_keeps_its_share_of_the_limit() -> None:
+    low = Job(spec(cores=2.0), 0)
+    high = Job(spec(id="job-2", rank="production", shape="daemon", crates=1, cores=3.0), 0)
+    other = Job(spec(id="job-3", rank="production", owner="blue", cores=3.0), 0)
+    assert quota.reserved_above(low, [low, high, other]) == 2
+    assert quota.reserved_above(high, [low, high, other]) == 0
+
+
+def test_image_at_hand_beats_a_tight_fit() -> None:
+    job = spec(cores=1.0)
+    rooms = [room("tight", 1), room("warm", 4, images=frozenset({"img"}))]
+    assert placement.pick(job, rooms, random.Random(1)).machine == "warm"  # type: ignore[union-attr]
+    assert placement.pick(job, [room("loose", 4), room("tight", 1)],
+                          random.Random(1)).machine == "tight"  # type: ignore[union-attr]
+
+
+def test_victims_are_the_cheapest_that_suffice() -> None:
+    job = spec(rank="production", cores=3.0)
+    small = Job(spec(id="job-2", cores=2.0), 0)
+    victims = [preemption.Victim(small, 0, 9.0), preemption.Victim(small, 1, 1.0),
+               preemption.Victim(small, 2, 5.0)]
+    chosen = preemption.choose(job, room("m", 1), victims)
+    assert [v.task for v in chosen or ()] == [1]
+    chosen = preemption.choose(job, room("m", 0), victims)
+    assert [v.task for v in chosen or ()] == [1, 2]
+    assert preemption.choose(job, room("m", 0, memory=0.0), victims[:1]) is None
+    chosen = preemption.choose(job, room("m", 4), victims, quota.Amounts(3.0))
+    assert len(chosen or ()) == 2
+
+
+def budget() -> Budget:
+    return Budget(Bucket(10.0, 10.0), Bucket(4.0, 4.0), 4.0, 16.0)
+
+
+def call(priority: Priority, writes: int, expires: float = 99.0) -> Waiting:
+    return Waiting("txn", (), priority, writes, 1.0, lambda reply: None, expires)
+
+
+def test_budget_serves_by_priority_and_lets_reads_pass() -> None:
+    b = budget()
+    calls = [call(Priority.PROGRESS, 2), call(Priority.STEP, 3), call(Priority.USER, 2),
+             call(Priority.STEP, 0), call(Priority.LEASE, 0)]
+    for each in calls:
+        b.add(each)
+    sent, _ = b.due(0.0)
+    assert [calls.index(x) for x in sent] == [4, 2, 3]
+    sent, _ = b.due(0.5)
+    assert [calls.index(x) for x in sent] == [1]
+    assert b.waiting(Priority.STEP) == 0 and b.size() == 1
+
+
+def test_budget_tries_for_more_and_gives_way() -> None:
+    b = budget()
+    for _ in range(300):
+        b.add(call(Priority.STEP, 2))
+    for step in range(1, 100):
+        b.due(step / 10)
+    assert b.writes.rate == 16.0
+    b.limited()
+    assert b.writes.rate == pytest.approx(16 * c.WRITES_BACK)
+    for _ in range(9):
+        b.limited()
+    assert b.writes.rate == 4.0
+
+
+def test_full_queue_refuses_all_but_lease_and_view() -> None:
+    b = budget()
+    assert all(b.add(call(Priority.STEP, 1)) for _ in range(c.CALL_QUEUE_MAX))
+    assert not b.add(call(Priority.USER, 1))
+    assert b.add(call(Priority.LEASE, 0)) and b.add(call(Priority.VIEW, 1))
+    assert len(b.due(100.0)[1]) == c.CALL_QUEUE_MAX + 2  # what waited too long is given up
+
+
+def test_records_survive_the_state_service() -> None:
+    job = Job(spec(crates=9, hulls=["h4"]), 5.0, 3, 4, cancelled=True, handoff=("n1", "x"))
+    job.done.add(0)
+    job.attempts.append(Attempt("vm-1", 2, 4, 7, True, {1, 2, 5}))
+    again = decode(msgspec.json.decode(wire.encode(job.encode())), 3)
+    assert again.encode() == job.encode()
+    assert again.queued_tasks(9) == [3, 4, 6, 7, 8] and again.queued == 0  # cancelled
+
+
+def test_malformed_records_are_logged_and_left_out() -> None:
+    replica = Replica()
+    replica.put(JOBS + "job-1", {"spec": 5}, 3)
+    replica.put(TEAMS + "red", [], 3)
+    assert not replica.jobs and not replica.team("red").jobs
+
+
+def test_old_news_never_replace_newer() -> None:
+    replica = Replica()
+    job = Job(spec(), 0, 5)
+    replica.set_job(job)
+    replica.put(JOBS + job.id, Job(spec(crates=9), 0).encode(), 4)
+    assert replica.jobs[job.id].spec.tasks == 2
+    replica.drop(JOBS + job.id, 8)
+    replica.put(JOBS + job.id, job.encode(), 7)
+    assert not replica.jobs
+
+
+@settings(derandomize=True, max_examples=50)
+@given(st.sets(st.text("xyz", min_size=1, max_size=4), min_size=2, max_size=5))
+def test_losing_a_member_moves_only_what_it_owned(nodes: set[str]) -> None:
+    before = View(1, dict.fromkeys(nodes, "i"), "x")
+    lost = min(nodes)
+    after = View(2, {n: "i" for n in nodes if n != lost}, "x")
+    for number in range(40):
+        name = f"vm-{number}"
+        if before.owner_of(name) != lost:
+            assert after.owner_of(name) == before.owner_of(name)
+
+
+def test_jobs_that_can_meet_their_deadline_go_first() -> None:
+    e = engine()
+    e.wall = 100.0
+    hopeful = Job(spec(id="job-1", crates=9, sail_s=60.0, eta_s=30.0), 80.0)
+    quick = Job(spec(id="job-2", crates=1, sail_s=60.0, eta_s=30.0), 80.0)
+    late = Job(spec(id="job-3", crates=1, sail_s=20.0, eta_s=30.0), 0.0)
+    service = Job(spec(id="job-4", shape="daemon", rank="production", crates=1), 99.0)
+    order = sorted([late, hopeful, service, quick], key=e.steps.urgency)
+    assert [job.id for job in order] == ["job-4", "job-2", "job-1", "job-3"]
+
+
+@pytest.mark.parametrize(("cores", "tasks", "spot", "kind"), [
+    (4.0, 1, False, ("h4", "a", False)), (4.0, 2, False, ("h8", "a", False)),
+    (4.0, 1, True, ("h4", "a", True)), (8.0, 1, True, ("h8", "a", True)),
+])
+def test_cheapest_machines_against_a_price_list(cores: float, tasks: int, spot: bool,
+                                                kind: tuple[str, str, bool]) -> None:
+    e = engine()
+    e.types = {"h4": KIND, "h8": BIG}
+    fleet: Fleet = e.fleet
+    job = spec(cores=cores, standby=spot, crates=tasks, memory_gb=1.0)
+    assert fleet._cheapest(job, tasks) == kind
+    prices = {k: (t.spot_price if s else t.price) / min(tasks, int(t.cpus // cores))
+              for t in (KIND, BIG) for z in t.zones for s in ([True, False] if spot else [False])
+              if t.cpus >= cores for k in [(t.name, z, s)]}
+    assert prices[kind] == min(prices.values())
+    fleet.refused[kind] = e.now + 5
+    assert fleet._cheapest(job, tasks) != kind
+
+
+def test_fresh_leader_keeps_machines_it_has_not_heard_of() -> None:
+    """A restarted leader once deleted 19 machines whose reports went to its peers."""
+    e = engine()
+    e.fleet.led_since = e.now
+    running = wire.Machine("vm-1", "h4", "a", "running", age_s=500.0)
+    starting = wire.Machine("vm-2", "h4", "a", wire.BOOTING, age_s=500.0)
+    e.fleet.listed = {"vm-1": running, "vm-2": starting}
+    assert not e.fleet._stuck("vm-1", ("h4", "a", False), 500.0)
+    assert e.fleet._stuck("vm-2", ("h4", "a", False), 500.0)
+
+
+def test_stops_wait_while_the_victim_is_being_written() -> None:
+    """Dropped stops left machines half cleared: one service took seven tries."""
+    e = engine()
+    job = Job(spec(crates=4), 0, 5)
+    job.attempts.append(Attempt("vm-1", 1, 1, 1, False, {0, 1, 2}))
+    e.steps.busy.add(job.id)
+    e.steps.stop(job.id, "vm-1", {0})
+    e.steps.stop(job.id, "vm-1", {2})
+    assert e.steps._apply_stops(job)
+    assert sorted((a.stopping, sorted(a.tasks)) for a in job.attempts) == [
+        (False, [1]), (True, [0, 2])]
