--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -153,6 +153,8 @@
         if replica.changed_jobs:
             for job_id in replica.changed_jobs:
                 self.workers.job_changed(job_id)
+                if job_id in replica.jobs:
+                    self.fleet.note(replica.jobs[job_id])
                 self.steps.dirty.add(job_id)
             replica.changed_jobs.clear()
             self.queue_dirty = True
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -68,6 +68,8 @@
     returning: dict[str, Returning] = field(default_factory=dict)
     refused: dict[Kind, float] = field(default_factory=dict)
     """kinds without capacity -> when to ask again"""
+    arrivals: dict[str, tuple[float, wire.JobSpec]] = field(default_factory=dict)
+    """services submitted lately -> when, on the steady clock, and what"""
     counter: int = 0
     cloud_pause: float = 0.0
     next_list: float = 0.0
@@ -411,9 +413,61 @@
             elif now >= worker.show_at and not worker.calling:
                 e.workers.show(worker)
 
+    def note(self, job: Job) -> None:
+        """A record changed: arrivals of services tell what headroom they need."""
+        if job.spec.service and job.id not in self.arrivals:
+            self.arrivals[job.id] = (self.e.now - max(0.0, self.e.wall - job.submitted), job.spec)
+
+    def _headroom(self) -> tuple[float, dict[str, float]]:
+        """Cores to keep for services that come while a machine would boot and
+        fetch, and the images asked for lately with the cores of one task."""
+        e = self.e
+        window = c.HEADROOM_WINDOW_S
+        self.arrivals = {job: row for job, row in self.arrivals.items()
+                         if e.now - row[0] < window}
+        images: dict[str, float] = {}
+        cpus = 0.0
+        for _, spec in self.arrivals.values():
+            kinds = [kind for kind in e.types.values() if placement.type_fits(spec, kind)]
+            if not kinds:
+                continue
+            wait = min(kind.boot_s + (spec.image_gb / kind.fetch_gb_per_s
+                                      if kind.fetch_gb_per_s > 0 else 0.0) for kind in kinds)
+            cpus += spec.cpus * spec.tasks * wait / window
+            images[spec.image] = max(images.get(spec.image, 0.0), spec.cpus)
+        return cpus + max(images.values(), default=0.0), images
+
+    def _warm(self) -> dict[str, tuple[float, set[str]]]:
+        """Ordinary machines: cores that a service could get there at once, free or
+        held by work that makes way for it, and the images at hand."""
+        result = {}
+        for room in self.e.rooms():
+            if room.spot:
+                continue
+            cpus = max(0.0, room.cpus)
+            for job_id in self.e.replica.by_machine.get(room.machine, ()):
+                job = self.e.replica.jobs[job_id]
+                if job.spec.rank < wire.RANKS["production"] and not job.spec.gang:
+                    cpus += sum(job.spec.cpus * len(a.tasks) for a in job.attempts
+                                if a.machine == room.machine)
+            result[room.machine] = (cpus, set(room.images))
+        return result
+
+    def _spare(self, name: str, warm: dict[str, tuple[float, set[str]]], cpus: float,
+               images: dict[str, float]) -> bool:
+        """Would the headroom still be there without this machine?"""
+        if name not in warm or not warm[name][1] & images.keys():
+            return True
+        rest = [row for other, row in warm.items() if other != name and row[1] & images.keys()]
+        return sum(row[0] for row in rest) >= cpus and all(
+            any(image in row[1] and row[0] >= size for row in rest)
+            for image, size in images.items() if image in warm[name][1])
+
     def _return(self) -> None:
         e, now = self.e, self.e.now
         self._suspect()
+        headroom, images = self._headroom()
+        warm = self._warm()
         for name, (kind, age) in self.booting().items():
             if self._stuck(name, kind, age) and name not in self.returning:
                 log.warning("%s has not come up within %.0f s", name, age)
@@ -425,7 +479,9 @@
                 self._cordon(name, worker.cordoned)
             elif (worker.idle_since and now - worker.idle_since > e.admin["idle_return_s"]
                     and worker.cordoned != "operator"
-                    and now - worker.heard_at < 5.0 and self.empty(name)):
+                    and now - worker.heard_at < 5.0 and self.empty(name)
+                    and self._spare(name, warm, headroom, images)):
+                warm.pop(name, None)
                 self._cordon(name, "idle")
             elif worker.lapsed >= worker.session and now - worker.heard_at > c.SILENT_DELETE_S:
                 self.returning[name] = Returning(now - c.CORDON_S, "silent", True)
