--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -158,7 +158,7 @@
 MUTE_S = 3.3
 """report intervals; silent this long and mute to the question, it is deleted:
 the confirmed deletion settles its tasks sooner than its lease would."""
-CALM_S = 8.0
+CALM_S = 3.0
 """s; no machine is suspected so soon after a change of view or of authority."""
 CALM_SHARE = 0.6
 """ratio; nor unless this part of the workers has been heard of lately."""
