--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -556,12 +556,17 @@
 
     def _drain(self) -> None:
         """Machines an operator wants emptied: work of ours is stopped with its
-        grace and moves on; the leader returns the machine once it is empty."""
+        grace and moves on; the leader returns the machine once it is empty. From
+        a machine about to be taken, only work goes that can save itself: the rest
+        would lose nothing by running on."""
         for name, worker in self.e.workers.table.items():
-            if worker.cordoned != "drain":
+            taken = worker.report is not None and worker.report.notice_s is not None
+            if worker.cordoned != "drain" and not taken:
                 continue
             for job_id in self.e.replica.by_machine.get(name, ()):
                 job = self.e.replica.jobs[job_id]
+                if worker.cordoned != "drain" and job.spec.checkpoint_s <= 0:
+                    continue
                 tasks = {task for attempt in job.attempts if attempt.machine == name
                          and not attempt.stopping for task in attempt.tasks}
                 if tasks and self.e.owns_job(job):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -243,3 +243,15 @@
     assert e.steps._apply_stops(job)
     assert sorted((a.stopping, sorted(a.tasks)) for a in job.attempts) == [
         (False, [1]), (True, [0, 2])]
+
+
+def test_only_work_that_can_save_itself_leaves_a_machine_about_to_be_taken() -> None:
+    e = engine()
+    e.replica.put("ad/live/view", {"term": 1, "members": {"n0": "x"}, "leader": "n0"}, 1)
+    for number, checkpoint in ((1, 30.0), (2, 0.0)):
+        job = Job(spec(id=f"job-{number}", stow_s=checkpoint), 0, 5)
+        job.attempts.append(Attempt("vm-1", 1, 1, 1, False, {0}))
+        e.replica.set_job(job)
+    e.workers.learn(wire.Report("vm-1", "10.0.0.9:9", "h4", "a", 1, 1, 1, True, notice_s=9.0))
+    e.fleet._drain()
+    assert e.steps.stops == {"job-1": {"vm-1": {0}}}
