--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -2,7 +2,12 @@
 
 # --- Membership -----------------------------------------------------------
 GRANT_S = 16.0
-"""s; lease of a controller. The paper's (Kafka's default) grace period."""
+"""s; lease of a controller. The paper starts at 10 (Kafka's default); outages of the
+state service last about 15 s, and a crash needs no lease to be noticed."""
+GRANT_MIN_S = 2.0
+"""s; shortest lease: below it renewals could not be retried."""
+CANCEL_RESERVE_S = 3.0
+"""s; of a cancellation's time that lease and worker lease together leave free."""
 TOUCH_EVERY_S = 2.0
 """s; lease renewal and view confirmation. Five tries fit into one lease."""
 TOUCH_RETRY_S = 0.4
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -44,6 +44,12 @@
         self.next_watch = 0.0
         self.queue_dirty = True
         self.value_bytes = int(settings.cluster.state.value_kb * 1024 * c.VALUE_SLACK)
+        workers = settings.cluster.workers
+        # A controller cut off right before a cancellation may answer a worker for
+        # one lease more, and the worker runs on for its own lease after that: both
+        # must fit into the time a cancellation has.
+        self.grant_s = max(c.GRANT_MIN_S, min(
+            c.GRANT_S, workers.cancel_s - workers.lease_s - c.CANCEL_RESERVE_S))
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.deadline_times = sorted({objective.times for objective in settings.cluster.objectives
                                       if objective.kind == "deadline" and objective.times}) or [1.0]
@@ -69,7 +75,7 @@
         """Work through a batch; `now` is the steady clock, `wall` the time of day."""
         self.now, self.wall = now, wall
         if self.tag == 0:
-            self.workers.start_bound = now + c.GRANT_S
+            self.workers.start_bound = now + self.grant_s
             self.tag = 1
         for command in batch:
             try:
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -21,7 +21,6 @@
 
 log = logging.getLogger(__name__)
 
-LEASE_LOCAL_S = c.GRANT_S * (1 - c.CLOCK_DRIFT) - c.AUTHORITY_MARGIN_S
 
 
 class Membership:
@@ -30,6 +29,8 @@
     def __init__(self, engine: Engine) -> None:
         self.e = engine
         self.node = engine.settings.name
+        self.lease_local_s = engine.grant_s * (1 - c.CLOCK_DRIFT) - c.AUTHORITY_MARGIN_S
+        """s; how long authority lasts, by our own clock"""
         self.generation = 0
         self.incarnation = ""
         self.lease: int | None = None
@@ -65,7 +66,7 @@
     def authority(self) -> bool:
         """May this controller act for the controllers right now?"""
         return (self.member()
-                and self.e.now < min(self.touch_sent, self.view_sent) + LEASE_LOCAL_S)
+                and self.e.now < min(self.touch_sent, self.view_sent) + self.lease_local_s)
 
     def acting(self) -> bool:
         """Authority, and a picture that is complete up to the view."""
@@ -115,7 +116,7 @@
             self.touch_sent = sent
             self._read_self()
 
-        self.e.store("grant", (int(c.GRANT_S * 1000),), Priority.LEASE, granted)
+        self.e.store("grant", (int(self.e.grant_s * 1000),), Priority.LEASE, granted)
 
     def _read_self(self) -> None:
         """Reads predecessor and view afresh, then joins in one transaction.
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -85,7 +85,7 @@
             # Another controller may have answered it under a view it still
             # believes in; that ends within one lease from now.
             worker = self.table[name] = Worker(name, bound=max(
-                self.start_bound, self.e.now + c.GRANT_S))
+                self.start_bound, self.e.now + self.e.grant_s))
         return worker
 
     def owned(self, name: str) -> bool:
@@ -414,13 +414,13 @@
             self.orders_due.add(name)
             if old is None or view.term != old.term + 1:
                 # A view in between may have had any owner.
-                worker.bound = max(worker.bound, now + c.GRANT_S)
+                worker.bound = max(worker.bound, now + self.e.grant_s)
                 continue
             owner = old.owner_of(name)
             if view.members.get(owner) != old.members[owner]:
                 worker.bound = max(worker.bound, now)
             elif owner != self.e.settings.name:
-                worker.bound = max(worker.bound, now + c.GRANT_S)
+                worker.bound = max(worker.bound, now + self.e.grant_s)
 
     # --- peers ------------------------------------------------------------
     def on_peer(self, message: dict[str, Any]) -> None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -72,6 +72,7 @@
     (1117, ("cloud", "crash", "hang", "late", "shut_out", "die", "cut", "outage")),
     (1264, ("shut_out", "outage")),
     (1445, ("cut", "crash", "cloud", "late")),
+    (5076, ("outage", "crash_all", "isolate", "peers", "crash", "late")),
     (1226, ("die", "hang", "isolate", "outage", "cloud", "peers", "late", "cut")),
 ])
 def test_rules_hold_and_work_gets_done(seed: int, faults: tuple[str, ...]) -> None:
