--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -101,6 +101,10 @@
 """s; a stop that shows no effect by then is sent again."""
 ORDERS_TIMEOUT_S = 3.0
 """s; a command sent straight to a worker without an answer is uncertain."""
+ANSWER_LOST_S = 3.5
+"""s; a worker waits 4 s for an answer, and reports sooner if it has got one."""
+SILENCE_EVERY_S = 0.25
+"""s; how often machines are looked at for silence and lapsed leases."""
 SHOW_AFTER_S = 6.0
 """s; a worker not heard of this long is asked directly by a job's owner."""
 SHOW_TIMEOUT_S = 2.0
@@ -115,12 +119,29 @@
 ERRORS_OF_JOBS = 2
 """jobs; a machine on which this many different jobs fail is set aside."""
 
+FAILING = 2
+"""errors in a row after which a job comes last in its team."""
+SWEEP_EVERY_S = 1.0
+"""s; how often all jobs of ours are looked at, for what no message told."""
+
+AGED_S = 60.0
+OVERDUE_S = 150.0
+"""s; a job of which nothing has begun by then comes first in its rank, and later
+before all, so that large ones too begin within minutes under lasting shortage."""
+
+# --- Limits of teams --------------------------------------------------------
+SHARE_SLACK = 0.5
+"""ratio; of its part of what is unused that a controller takes beyond its need when
+it raises its share: the next steps then need no write of the team's record."""
+
 # --- Placement ------------------------------------------------------------
 QUEUE_EVERY_S = 0.1
 """s; pause between two passes over the queue."""
 SAMPLE = 16
 """machines; looked at for each task. The design starts with 8; images are often
 on few machines only, and small parts have about 16."""
+CLEAR_SAMPLE = 64
+"""machines; looked at for room to be made. Most run nothing that may be stopped."""
 CLAIM_S = 4.0
 """s; a machine being cleared for a job is kept for it this long."""
 PREEMPT_MARGIN_S = 1.5
@@ -185,6 +206,24 @@
 PEER_BUFFER_MAX = 2_000_000
 """bytes; a link whose peer does not read is dropped beyond this."""
 
+PULSE_EVERY_S = 0.5
+"""s; how often a controller tells the others that it lives."""
+PULSE_LOST_S = 1.8
+"""s; not heard this long, a controller counts as out of reach: three pulses."""
+PULSE_SERVED_S = 4.0
+"""s; renewals are sent every two seconds: a controller not served this long has
+lost the state service."""
+SHUT_OUT_S = 2.8
+"""s; and we ourselves know it a little sooner, one refused renewal later."""
+SERVED_LATER_S = 2.4
+"""s; who was served this much later than we is served still: renewals are two
+seconds apart, so that an outage finds all within that."""
+SHUT_OUT_FOR_S = 0.8
+"""s; only when it lasts: after an outage some are served a moment sooner."""
+LEADER_LOST_S = 2.0
+"""s; a leader that alone fails this long, by its own or the others' word, is
+replaced: without one nothing is rented."""
+
 # --- Metrics --------------------------------------------------------------
 LATENCY_MAX_US = 60_000_000
 """us; longest latency that the histograms tell apart."""
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -12,6 +12,7 @@
 from appledock import constants as c
 from appledock.core.budget import Priority
 from appledock.core.events import Admin, Put, Reply, SetLogLevel, StoreReply, TxnPlan
+from appledock.core.quota import NOTHING
 from appledock.core.replica import SETTINGS
 
 if TYPE_CHECKING:
@@ -154,7 +155,9 @@
     def machines(self) -> list[dict[str, Any]]:
         e = self.e
         rows = []
-        free = {room.machine: room for room in e.rooms()} if e.replica.view else {}
+        if e.replica.view:
+            e.rooms.refresh()
+        free = e.rooms.table
         for name in sorted(e.workers.table):
             worker = e.workers.table[name]
             report = worker.report
@@ -174,10 +177,14 @@
     def teams(self) -> list[dict[str, Any]]:
         rows = []
         for name, team in sorted(self.e.teams.items()):
-            cpus, gpus = self.e.replica.team(name).used()
-            rows.append({"name": name, "cpus_held": cpus, "cpus": team.cpus,
-                         "cpus_max": team.cpus_max, "gpus_held": gpus, "gpus": team.gpus,
-                         "gpus_max": team.gpus_max})
+            known = self.e.replica.view is not None
+            held = self.e.quota.held_in_all(name) if known else NOTHING
+            record = self.e.replica.team(name)
+            rows.append({"name": name, "cpus_held": held.cpus, "cpus": team.cpus,
+                         "cpus_max": team.cpus_max, "gpus_held": held.gpus, "gpus": team.gpus,
+                         "gpus_max": team.gpus_max, "term": record.term,
+                         "cpus_shares": {node: share[0] for node, share
+                                         in sorted(record.shares.items())}})
         return rows
 
     def settings(self) -> dict[str, Any]:
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -13,11 +13,13 @@
 from appledock.core.admin import AdminApi
 from appledock.core.budget import Bucket, Budget, Priority, Waiting
 from appledock.core.fleet import Fleet
-from appledock.core.jobs import Job, split_task
+from appledock.core.jobs import Job
 from appledock.core.membership import Membership
-from appledock.core.placement import Room
+from appledock.core.pulse import Pulse
+from appledock.core.quota import Quota
 from appledock.core.replica import LIVE, Replica, View
 from appledock.core.requests import Requests
+from appledock.core.rooms import Rooms
 from appledock.core.steps import Steps
 from appledock.core.workers import Worker, Workers
 from appledock.settings import Settings
@@ -64,7 +66,10 @@
                              settings.cluster.state.write_rps * c.WRITES_CEILING)
         self.replica = Replica()
         self.membership = Membership(self)
+        self.pulse = Pulse(self)
         self.workers = Workers(self)
+        self.rooms = Rooms(self)
+        self.quota = Quota(self)
         self.steps = Steps(self)
         self.fleet = Fleet(self)
         self.requests = Requests(self)
@@ -131,6 +136,8 @@
                             {int(task) for task in message["tasks"]})
         elif kind in ("rented", "cordon"):
             self.fleet.on_peer(message)
+        elif kind == "pulse":
+            self.pulse.on_peer(message)
 
     def _tick(self) -> None:
         if not self.loaded and not self.loading and self.now >= self.next_load:
@@ -138,6 +145,7 @@
         if self.loaded and not self.watching and self.now >= self.next_watch:
             self._watch()
         self.membership.tick()
+        self.pulse.tick()
         self.workers.tick()
         self.fleet.tick()
         self.requests.tick()
@@ -151,20 +159,26 @@
             assert view is not None
             self.workers.on_view(self.acted_view)
             self.membership.on_view()
+            self.quota.on_view()
+            self.rooms.touch_all()
             self.acted_view = view
             self.queue_dirty = True
         if replica.settings_changed:
             replica.settings_changed = False
             self.admin.apply()
         if replica.changed_jobs:
-            for job_id in replica.changed_jobs:
-                self.workers.job_changed(job_id)
+            for job_id in sorted(replica.changed_jobs):
                 if job_id in replica.jobs:
                     self.fleet.note(replica.jobs[job_id])
                 self.steps.dirty.add(job_id)
             replica.changed_jobs.clear()
+            self.workers.orders_due |= replica.changed_machines
+            self.rooms.dirty |= replica.changed_machines
+            replica.changed_machines.clear()
             self.queue_dirty = True
         self.fleet.read_catalogue()
+        self.quota.forget_caches()
+        self.rooms.sweep()
         self.steps.tick()
         self.workers.flush_orders()
         self._drain()
@@ -173,9 +187,12 @@
         self.effects.append(effect)
 
     def healthy(self) -> bool:
-        """Can requests be taken? Without the machine types (first start ever)
-        no submission can be decided."""
-        return self.loaded and self.membership.joined and bool(self.types)
+        """Can requests be taken? Without the machine types (first start ever) no
+        submission can be decided. Whoever alone is not served by the state service
+        steps aside; in an outage, which all meet, nobody does: being taken back
+        would take longer than the outage."""
+        return (self.loaded and self.membership.joined and bool(self.types)
+                and not self.pulse.shut_out())
 
     # --- calls ------------------------------------------------------------
     def call(self, make: Callable[[int], ev.Effect], done: Callable[[Any], None]) -> None:
@@ -325,53 +342,5 @@
         report = worker.report
         return (report is not None and report.type in self.types and not worker.cordoned
                 and worker.id not in self.workers.gone and report.session > worker.lapsed
-                and report.notice_s is None
-                and self.now - worker.heard_at <= 2.5 * self.settings.cluster.workers.report_s)
-
-    def rooms(self) -> list[Room]:
-        """Free room on every machine that may take steps."""
-        result = []
-        reserved: dict[str, list[tuple[wire.JobSpec, int]]] = {}
-        for entries in self.steps.reserved.values():
-            for machine, spec, count in entries:
-                reserved.setdefault(machine, []).append((spec, count))
-        for name in sorted(self.workers.table):
-            worker = self.workers.table[name]
-            if self.placeable(worker):
-                room = self._room(worker)
-                for spec, count in reserved.get(name, ()):
-                    room.take(spec, count)
-                result.append(room)
-        return result
-
-    def _room(self, worker: Worker) -> Room:
-        report = worker.report
-        assert report is not None
-        kind = self.types[report.type]
-        fetching: set[str] = set()
-        room = Room(worker.id, kind, report.zone, report.spot, report.session, kind.cpus,
-                    kind.gpus, kind.memory_gb, set(worker.images), fetching,
-                    self.replica.owner_of(worker.id), len(worker.failed_jobs))
-        for job_id in self.replica.by_machine.get(worker.id, ()):
-            job = self.replica.jobs[job_id]
-            for attempt in job.attempts:
-                if attempt.machine != worker.id or attempt.session != report.session:
-                    continue
-                for task in attempt.tasks:
-                    entry = worker.tasks.get((f"{job_id}/{task}", attempt.number))
-                    if entry is None or entry.state != wire.EXITED:
-                        room.take(job.spec)
-                        if job.spec.image not in room.images and (
-                                entry is None or entry.state == wire.FETCHING):
-                            fetching.add(job.spec.image)
-        for (name, number), shown in worker.tasks.items():
-            if shown.state != wire.EXITED and not self._recorded(worker.id, name, number):
-                room.cpus = room.memory_gb = -1.0  # a stray of unknown size
-        return room
-
-    def _recorded(self, machine: str, task: str, number: int) -> bool:
-        job_id, index = split_task(task)
-        job = self.replica.jobs.get(job_id)
-        return job is not None and any(
-            a.machine == machine and a.number == number and index in a.tasks
-            for a in job.attempts)
+                and report.notice_s is None and worker.proven
+                and self.now - worker.well_at <= 2.5 * self.settings.cluster.workers.report_s)
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -56,6 +57,74 @@
     calling: bool = False
 
 
+class Supply:
+    """Free room by class: how many machines have the same kind and the same left."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[Kind, float, float, float], tuple[Room, int]] = {}
+
+    def add(self, room: Room, number: int) -> None:
+        key = ((room.type.name, room.zone, room.spot), round(room.cpus, 3),
+               round(room.gpus, 3), round(room.memory_gb, 2))
+        _, count = self.rows.get(key, (room, 0))
+        self.rows[key] = (room, count + number)
+
+    def take(self, spec: wire.JobSpec, tasks: int) -> int:
+        """Put up to `tasks` tasks on the rows, the tightest first; what is left."""
+        rows = sorted(((room.cpus, key) for key, (room, _) in self.rows.items()
+                       if placement.allowed_on(spec, room) and room.fits(spec)),
+                      key=lambda row: (row[0], row[1]))
+        for _, key in rows:
+            if tasks <= 0:
+                break
+            room, number = self.rows.pop(key)
+            each = room.count(spec)
+            full = min(number, tasks // each)
+            tasks -= full * each
+            self._rest(room, spec, each, full)
+            if full < number and tasks > 0:
+                self._rest(room, spec, tasks, 1)
+                tasks, full = 0, full + 1
+            if full < number:
+                self.add(room, number - full)
+        return tasks
+
+    def _rest(self, room: Room, spec: wire.JobSpec, tasks: int, number: int) -> None:
+        """What `number` such machines have left with `tasks` tasks on each."""
+        if number > 0:
+            left = Room("", room.type, room.zone, room.spot, 0, room.cpus, room.gpus,
+                        room.memory_gb)
+            left.take(spec, tasks)
+            self.add(left, number)
+
+
+class Warm:
+    """Machines that a service could use at once, and what they offer together."""
+
+    def __init__(self, rows: dict[str, tuple[float, frozenset[str]]],
+                 images: dict[str, float]) -> None:
+        self.rows = rows
+        self.images = images
+        self.cpus = sum(cpus for cpus, _ in rows.values())
+        self.holders = {image: sum(image in held and cpus >= size
+                                   for cpus, held in rows.values())
+                        for image, size in images.items()}
+
+    def spare(self, name: str, cpus: float) -> bool:
+        """Would the headroom still be there without this machine?"""
+        row = self.rows.get(name)
+        return row is None or (self.cpus - row[0] >= cpus and all(
+            self.holders[image] - (row[0] >= size) >= 1
+            for image, size in self.images.items() if image in row[1]))
+
+    def take(self, name: str) -> None:
+        row = self.rows.pop(name, None)
+        if row is not None:
+            self.cpus -= row[0]
+            for image, size in self.images.items():
+                self.holders[image] -= image in row[1] and row[0] >= size
+
+
 @dataclass(slots=True)
 class Fleet:
     """Rents, watches and returns machines."""
@@ -135,6 +204,7 @@
             return
         for kind in kinds:
             self.e.types.setdefault(kind.name, kind)
+        self.e.rooms.touch_all()
 
     def _read_types(self) -> None:
         self.reading_types = True
@@ -148,6 +218,7 @@
                 return
             before = self._shape(self.e.types.values())
             self.e.types = {kind.name: kind for kind in reply.data.types}
+            self.e.rooms.touch_all()
             self.e.queue_dirty = True
             stored = {kind["hull"]: kind for kind in self.e.replica.catalogue[1]
                       if isinstance(kind, dict) and "hull" in kind}
@@ -259,34 +330,42 @@
                 and name not in self.e.replica.by_machine)
 
     def _plan(self) -> None:
-        """Place the queue on what is up and booting; rent for what is left."""
+        """Put the queue on what is up and booting; rent for what is left.
+
+        Decided by classes: machines with the same room are one row, and a job
+        takes of a row as many as it needs at once.
+        """
         e = self.e
-        rooms = e.rooms()
-        for name, (kind, age) in self.booting().items():
+        e.rooms.refresh()
+        supply = Supply()
+        for room in e.rooms.open.values():
+            supply.add(room, 1)
+        booting = self.booting()
+        for name, (kind, age) in booting.items():
             type_ = e.types.get(kind[0])
             if type_ is not None and name not in self.returning and age < self._late(type_) / 2:
-                rooms.append(_empty(name, type_, kind))
+                supply.add(_empty("", type_, kind), 1)
         for request in self.renting:
             type_ = e.types.get(request.kind[0])
             if type_ is not None:
-                rooms += [_empty(f"{request.name}/{i}", type_, request.kind)
-                          for i in range(request.count)]
+                supply.add(_empty("", type_, request.kind), request.count)
         wanted: dict[Kind, int] = {}
         for job, tasks in self._demand():
-            placed = placement.place(job.spec, tasks, rooms, e.rng, {}, False, 1_000_000)
-            left = tasks - sum(count for _, count in placed)
+            left = supply.take(job.spec, tasks)
             while left > 0:
                 cheapest = self._cheapest(job.spec, left)
                 if cheapest is None:
                     break
-                room = _empty(f"new/{len(rooms)}", e.types[cheapest[0]], cheapest)
-                fit = min(left, room.count(job.spec))
-                room.take(job.spec, fit)
-                left -= fit
-                rooms.append(room)
-                wanted[cheapest] = wanted.get(cheapest, 0) + 1
+                room = _empty("", e.types[cheapest[0]], cheapest)
+                number = math.ceil(left / max(1, room.count(job.spec)))
+                supply.add(room, number)
+                rest = supply.take(job.spec, left)
+                if rest == left:
+                    break
+                left = rest
+                wanted[cheapest] = wanted.get(cheapest, 0) + number
         room_left = int(e.admin["machines_max"]) - sum(
-            w.report is not None for w in e.workers.table.values()) - len(self.booting())
+            w.report is not None for w in e.workers.table.values()) - len(booting)
         for kind, count in wanted.items():
             number = min(count, c.RENT_MAX, room_left)
             if number > 0:
@@ -298,8 +377,8 @@
         e = self.e
         held: dict[str, quota.Amounts] = {}
         result = []
-        jobs = [job for job in e.replica.jobs.values() if job.queued > 0]
-        for job in sorted(jobs, key=e.steps.urgency):
+        for job in sorted((e.replica.jobs[j] for j in e.replica.queued),
+                          key=lambda job: (e.steps.urgency(job), job.id)):
             limits = e.teams.get(job.spec.team)
             if limits is None or not any(placement.type_fits(job.spec, kind)
                                          for kind in e.types.values()):
@@ -308,14 +387,11 @@
                 continue  # a job that fails everywhere is not worth machines
             used = held.get(job.spec.team)
             if used is None:
-                used = quota.Amounts(*e.replica.team(job.spec.team).used())
-            free = quota.Amounts(limits.cpus_max - used.cpus, limits.gpus_max - used.gpus)
-            tasks = min(job.queued, 4 * c.RENT_MAX)
-            while tasks and not quota.need(job.spec, tasks).fits(free):
-                tasks -= 1
+                used = e.quota.held_in_all(job.spec.team)
+            tasks = min(job.queued, 4 * c.RENT_MAX, (quota.limit(limits) - used).most(
+                quota.NOTHING).count(job.spec))
             if tasks:
-                more = quota.need(job.spec, tasks)
-                held[job.spec.team] = quota.Amounts(used.cpus + more.cpus, used.gpus + more.gpus)
+                held[job.spec.team] = used + quota.need(job.spec, tasks)
                 result.append((job, tasks))
         return result
 
@@ -384,9 +460,8 @@
         worker = self.e.workers.table.get(name)
         if worker is None or worker.report is None:
             return True
-        reserved = any(machine == name for entries in self.e.steps.reserved.values()
-                       for machine, _, _ in entries)
-        return not reserved and all(t.state == wire.EXITED for t in worker.report.tasks)
+        return name not in self.e.rooms.reserved_on and all(
+            t.state == wire.EXITED for t in worker.report.tasks)
 
     def _suspect(self) -> None:
         """Replicas on a machine that fell silent come back sooner if the machine
@@ -394,20 +469,21 @@
         then the trouble is ours, or the network's."""
         e, now = self.e, self.e.now
         report_s = e.settings.cluster.workers.report_s
-        heard = [now - w.heard_at < 2 * report_s for w in e.workers.table.values() if w.report]
+        heard = [now - w.well_at < 2 * report_s for w in e.workers.table.values() if w.report]
         if (self.led_since is None or now - max(self.led_since, e.membership.term_at,
                                                 e.membership.acting_since) < c.CALM_S
                 or sum(heard) < c.CALM_SHARE * len(heard)):
             return
         for name, worker in e.workers.table.items():
-            silent = now - worker.heard_at
+            # Silent, or deaf: its reports arrive and our answers do not.
+            silent = now - worker.well_at
             if (worker.report is None or name in self.returning or name in e.workers.gone
                     or silent < c.SUSPECT_REPORTS * report_s
                     or not any(e.replica.jobs[j].spec.service
                                for j in e.replica.by_machine.get(name, ()))):
                 continue
             if silent > c.MUTE_S * report_s and now - worker.mute_at < 2 * c.SHOW_EVERY_S and (
-                    worker.mute_at > worker.heard_at):
+                    worker.mute_at > worker.well_at):
                 log.warning("%s silent for %.1f s and mute: deleting it", name, silent)
                 self.returning[name] = Returning(now - c.CORDON_S, "mute", True)
             elif now >= worker.show_at and not worker.calling:
@@ -437,37 +513,27 @@
             images[spec.image] = max(images.get(spec.image, 0.0), spec.cpus)
         return cpus + max(images.values(), default=0.0), images
 
-    def _warm(self) -> dict[str, tuple[float, set[str]]]:
-        """Ordinary machines: cores that a service could get there at once, free or
-        held by work that makes way for it, and the images at hand."""
-        result = {}
-        for room in self.e.rooms():
-            if room.spot:
+    def _warm(self, images: dict[str, float]) -> Warm:
+        """Ordinary machines with an image in demand: cores that a service could
+        get there at once, free or held by work that makes way for it."""
+        rows = {}
+        jobs = self.e.replica.jobs
+        for room in self.e.rooms.table.values():
+            if room.spot or not room.images & images.keys():
                 continue
             cpus = max(0.0, room.cpus)
-            for job_id in self.e.replica.by_machine.get(room.machine, ()):
-                job = self.e.replica.jobs[job_id]
-                if job.spec.rank < wire.RANKS["production"] and not job.spec.gang:
-                    cpus += sum(job.spec.cpus * len(a.tasks) for a in job.attempts
-                                if a.machine == room.machine)
-            result[room.machine] = (cpus, set(room.images))
-        return result
-
-    def _spare(self, name: str, warm: dict[str, tuple[float, set[str]]], cpus: float,
-               images: dict[str, float]) -> bool:
-        """Would the headroom still be there without this machine?"""
-        if name not in warm or not warm[name][1] & images.keys():
-            return True
-        rest = [row for other, row in warm.items() if other != name and row[1] & images.keys()]
-        return sum(row[0] for row in rest) >= cpus and all(
-            any(image in row[1] and row[0] >= size for row in rest)
-            for image, size in images.items() if image in warm[name][1])
+            for job_id, attempts in self.e.replica.by_machine.get(room.machine, {}).items():
+                spec = jobs[job_id].spec
+                if spec.rank < wire.RANKS["production"] and not spec.gang:
+                    cpus += sum(spec.cpus * len(a.tasks) for a in attempts)
+            rows[room.machine] = (cpus, frozenset(room.images))
+        return Warm(rows, images)
 
     def _return(self) -> None:
         e, now = self.e, self.e.now
         self._suspect()
         headroom, images = self._headroom()
-        warm = self._warm()
+        warm = self._warm(images)
         for name, (kind, age) in self.booting().items():
             if self._stuck(name, kind, age) and name not in self.returning:
                 log.warning("%s has not come up within %.0f s", name, age)
@@ -475,13 +541,15 @@
         for name, worker in e.workers.table.items():
             if name in self.returning or worker.report is None or name in e.workers.gone:
                 continue
-            if worker.cordoned in ("drain", "faulty") and self.empty(name):
+            if (worker.cordoned in ("drain", "faulty") and self.empty(name)
+                    and e.pulse.reached(e.replica.owner_of(name))):
                 self._cordon(name, worker.cordoned)
             elif (worker.idle_since and now - worker.idle_since > e.admin["idle_return_s"]
                     and worker.cordoned != "operator"
                     and now - worker.heard_at < 5.0 and self.empty(name)
-                    and self._spare(name, warm, headroom, images)):
-                warm.pop(name, None)
+                    and e.pulse.reached(e.replica.owner_of(name))
+                    and warm.spare(name, headroom)):
+                warm.take(name)
                 self._cordon(name, "idle")
             elif worker.lapsed >= worker.session and now - worker.heard_at > c.SILENT_DELETE_S:
                 self.returning[name] = Returning(now - c.CORDON_S, "silent", True)
@@ -499,13 +567,11 @@
 
     def _cordon(self, name: str, why: str) -> None:
         self.returning[name] = Returning(self.e.now, why)
-        self.e.workers.get(name).cordoned = why
+        self._set_cordon(name, why)
         self.e.emit(PeerSend({"kind": "cordon", "worker": name, "why": why}))
 
     def _uncordon(self, name: str) -> None:
-        worker = self.e.workers.table.get(name)
-        if worker is not None:
-            worker.cordoned = ""
+        self._set_cordon(name, "")
         self.e.emit(PeerSend({"kind": "cordon", "worker": name, "why": ""}))
 
     def _delete(self, names: list[str]) -> None:
@@ -539,7 +605,7 @@
         worker.failed_jobs.add(job)
         if len(worker.failed_jobs) >= c.ERRORS_OF_JOBS and not worker.cordoned:
             log.warning("%s set aside: tasks of %s failed", machine, sorted(worker.failed_jobs))
-            worker.cordoned = "faulty"
+            self._set_cordon(machine, "faulty")
             self.e.emit(PeerSend({"kind": "cordon", "worker": machine, "why": "faulty"}))
 
     def operate(self, name: str, action: str) -> None:
@@ -552,6 +618,7 @@
         worker = self.e.workers.table.get(name)
         if worker is not None:
             worker.cordoned = why
+            self.e.rooms.touch(name)
             self.e.queue_dirty = True
 
     def _drain(self) -> None:
@@ -563,12 +630,12 @@
             taken = worker.report is not None and worker.report.notice_s is not None
             if worker.cordoned != "drain" and not taken:
                 continue
-            for job_id in self.e.replica.by_machine.get(name, ()):
+            for job_id, attempts in self.e.replica.by_machine.get(name, {}).items():
                 job = self.e.replica.jobs[job_id]
                 if worker.cordoned != "drain" and job.spec.checkpoint_s <= 0:
                     continue
-                tasks = {task for attempt in job.attempts if attempt.machine == name
-                         and not attempt.stopping for task in attempt.tasks}
+                tasks = {task for attempt in attempts if not attempt.stopping
+                         for task in attempt.tasks}
                 if tasks and self.e.owns_job(job):
                     self.e.steps.stop(job_id, name, tasks)
 
--- a/appledock/core/jobs.py
+++ b/appledock/core/jobs.py
@@ -44,13 +44,21 @@
     """node and incarnation that the job was handed to"""
     failures: int = 0
     """errors since a task last completed"""
+    sealed: int = -1
+    """number of open tasks, counted once when the record can change no more"""
 
     @property
     def id(self) -> str:
         return self.spec.id
 
+    def seal(self) -> None:
+        """The record is now shared as it stands: it is copied, not changed."""
+        self.sealed = sum(len(attempt.tasks) for attempt in self.attempts)
+
     @property
     def open_tasks(self) -> int:
+        if self.sealed >= 0:
+            return self.sealed
         return sum(len(attempt.tasks) for attempt in self.attempts)
 
     @property
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -39,12 +39,17 @@
         self.next_join = 0.0
         self.touch_sent = -1e9
         self.view_sent = -1e9
+        self.served_at = -1e9
+        """when the state service last answered a renewal or a question"""
         self.next_touch = 0.0
         self.touching = False
         self.confirming = False
         self.next_view = 0.0
         self.changing = False
         self.want_term = False
+        self.want_lead = False
+        """the leader fails while we do not"""
+        self.leader_seen = 0.0
         self.want_override: dict[str, str] = {}
         self.term_at = -1e9
         self.acting_since = -1e9
@@ -161,6 +166,7 @@
 
         def done(reply: StoreReply) -> None:
             if reply.outcome == "ok":
+                self.served_at = self.e.now
                 revision = reply.data.revision
                 self.joining, self.joined = False, True
                 self.e.replica.put(MEMBERS + self.node, value, revision)
@@ -189,6 +195,7 @@
                 return
             if reply.outcome == "ok":
                 self.touch_sent = sent
+                self.served_at = self.e.now
                 self.next_touch = max(self.e.now, sent + c.TOUCH_EVERY_S)
             elif reply.outcome == "missing":
                 self._lost("lease ended")
@@ -230,7 +237,7 @@
     def _next_view(self, members: dict[str, str]) -> View:
         old = self.view
         leader = old.leader if old and members.get(old.leader) == old.members.get(
-            old.leader) and old.leader in members else self.node
+            old.leader) and old.leader in members and not self.want_lead else self.node
         overrides = {}
         if old:
             overrides = {worker: to for worker, to in old.overrides.items()
@@ -250,7 +257,10 @@
             return
         members = {node: m.incarnation for node, m in self.e.replica.members.items()}
         differs = members != view.members
-        if not differs and not ((self.want_term or self.want_override)
+        if view.leader == self.node or not self.e.pulse.leader_lost():
+            self.leader_seen = now
+        self.want_lead = now - self.leader_seen > c.LEADER_LOST_S
+        if not differs and not ((self.want_term or self.want_override or self.want_lead)
                                 and now >= self.term_at + c.TERM_BUMP_EVERY_S):
             self.next_view = 0.0
             return
@@ -286,7 +296,8 @@
     def on_view(self) -> None:
         """A newer view is known."""
         self.term_at = self.e.now
-        self.want_term = False
+        self.want_term = self.want_lead = False
+        self.leader_seen = self.e.now
         self.want_override.clear()
         if self.joined and not self.member():
             # Our member key may still exist; only a fresh read decides.
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -23,7 +24,7 @@
 
 log = logging.getLogger(__name__)
 
-NOTHING = quota.Amounts()
+NOTHING = quota.NOTHING
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +86,8 @@
         self.e = engine
         self.claims: dict[str, list[Claim]] = {}
         """job -> machines being cleared for it"""
+        self.claimed: dict[str, str] = {}
+        """machine -> job that it is being cleared for"""
 
     def refresh(self) -> None:
         """Claims end: the room must not stay empty if the job went elsewhere."""
@@ -96,11 +99,12 @@
                 self.claims[job_id] = left
             else:
                 del self.claims[job_id]
+        self.claimed = {claim.machine: job_id for job_id, claims in self.claims.items()
+                        for claim in claims}
 
     def free_for(self, machine: str, job: Job) -> bool:
         """Is the machine not being cleared for another job?"""
-        return all(claim.machine != machine for other, claims in self.claims.items()
-                   if other != job.id for claim in claims)
+        return self.claimed.get(machine, job.id) == job.id
 
     def placed(self, job_id: str, reserved: list[tuple[str, wire.JobSpec, int]]) -> None:
         """A step was committed: its machines need no claim any more."""
@@ -117,13 +121,12 @@
         result: list[Victim] = []
         if worker is None:
             return result
-        for other_id in self.e.replica.by_machine.get(room.machine, ()):
+        for other_id, attempts in self.e.replica.by_machine.get(room.machine, {}).items():
             other = self.e.replica.jobs[other_id]
             if other.spec.rank >= job.spec.rank or other.cancelled or other.spec.gang:
                 continue
-            for attempt in other.attempts:
-                if (attempt.machine != room.machine or attempt.stopping
-                        or attempt.session != room.session):
+            for attempt in attempts:
+                if attempt.stopping or attempt.session != room.session:
                     continue
                 for task in attempt.tasks:
                     key = (f"{other_id}/{task}", attempt.number)
@@ -133,14 +136,17 @@
                     result.append(Victim(other, task, ran * max(other.spec.cpus, 0.1)))
         return result
 
-    def _options(self, job: Job, rooms: list[Room], zones: dict[str, int],
-                 within_team: bool) -> list[Option]:
-        """Machines that could be cleared for a task of the job, cheapest first."""
+    def _options(self, job: Job, zones: dict[str, int], within_team: bool) -> list[Option]:
+        """Machines of a sample that could be cleared for a task of the job, the
+        cheapest first."""
         spec = job.spec
         cap = placement.zone_cap(spec)
         held = {zone for zone, number in zones.items() if number}
         short = self._short(job) if within_team else NOTHING
         result = []
+        rooms = list(self.e.rooms.table.values())
+        if len(rooms) > c.CLEAR_SAMPLE:
+            rooms = self.e.rng.sample(rooms, c.CLEAR_SAMPLE)
         for room in rooms:
             if (not placement.allowed_on(spec, room) or zones.get(room.zone, 0) >= cap
                     or (spec.one_zone and held and room.zone not in held)
@@ -160,11 +166,10 @@
     def _short(self, job: Job) -> quota.Amounts:
         """What the team's limit lacks for one more task of the job."""
         limits = self.e.teams[job.spec.team]
-        cpus, gpus = self.e.replica.team(job.spec.team).used()
-        return quota.Amounts(max(0.0, cpus + job.spec.cpus - limits.cpus_max),
-                             max(0.0, gpus + job.spec.gpus - limits.gpus_max))
+        held = self.e.quota.held_in_all(job.spec.team)
+        return (held + quota.need(job.spec, 1) - quota.limit(limits)).most(NOTHING)
 
-    def make_room(self, job: Job, rooms: list[Room], count: int, zones: dict[str, int],
+    def make_room(self, job: Job, count: int, zones: dict[str, int],
                   within_team: bool = False) -> str | None:
         """Clear machines of ours for up to `count` tasks; else name the controller
         whose machines could be cleared. `within_team`: the team's limit is what
@@ -172,7 +177,7 @@
         count -= len(self.claims.get(job.id, ()))
         if count <= 0:
             return None
-        options = self._options(job, rooms, zones, within_team)
+        options = self._options(job, zones, within_team)
         own = [option for option in options if option.room.owner == self.e.settings.name]
         if not own:
             return options[0].room.owner if options else None
@@ -189,21 +194,28 @@
         if self.claims.get(job.id):
             return None
         spec, me = job.spec, self.e.settings.name
-        free = sorted((placement.fetch_s(spec, room), room.owner != me, room.machine, room.owner)
-                      for room in rooms if placement.allowed_on(spec, room) and room.fits(spec)
-                      and self.free_for(room.machine, job))
-        options = self._options(job, rooms, zones, False)
-        if not free and not options:
-            return None
-        if options and (not free or options[0].cost + c.PREEMPT_MARGIN_S < free[0][0]):
-            option = options[0]
-            if option.room.owner != me:
-                return option.room.owner
-            self._clear(job, option)
-            return me
-        own = [cost for cost, foreign, _, _ in free if not foreign]
-        if not own or free[0][0] + c.PREEMPT_MARGIN_S < own[0]:
-            return free[0][3] if free[0][3] != me else None
+        free: tuple[float, bool, str, str] | None = None
+        own = math.inf
+        for room in rooms:
+            if (room.fits(spec) and placement.allowed_on(spec, room)
+                    and self.free_for(room.machine, job)):
+                wait, foreign = placement.fetch_s(spec, room), room.owner != me
+                if not foreign:
+                    own = min(own, wait)
+                row = (wait, foreign, room.machine, room.owner)
+                if free is None or row < free:
+                    free = row
+        if free is None or free[0] > c.PREEMPT_MARGIN_S:
+            options = self._options(job, zones, False)
+            if options and (free is None
+                            or options[0].cost + c.PREEMPT_MARGIN_S < free[0]):
+                option = options[0]
+                if option.room.owner != me:
+                    return option.room.owner
+                self._clear(job, option)
+                return me
+        if free is not None and free[0] + c.PREEMPT_MARGIN_S < own and free[3] != me:
+            return free[3]
         return None
 
     def _clear(self, job: Job, option: Option) -> None:
@@ -211,6 +223,7 @@
         log.info("%s clears %s of %s", job.id, machine,
                  [f"{victim.job.id}/{victim.task}" for victim in option.victims])
         self.claims.setdefault(job.id, []).append(Claim(machine, self.e.now + c.CLAIM_S))
+        self.claimed[machine] = job.id
         for victim in option.victims:
             self._stop(victim, machine)
 
--- /dev/null
+++ b/appledock/core/pulse.py
@@ -0,0 +1,78 @@
+"""Pulses between the controllers: who reaches the state service, and whom we reach.
+
+An outage of the state service cannot be told apart from a refusal that only we
+meet, unless the others say how they fare. Nothing here grants or ends a right:
+pulses decide who should be asked, never who may act.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from appledock import constants as c
+from appledock.core.events import PeerSend
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class Pulse:
+    """What the controllers tell each other about themselves."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.heard: dict[str, tuple[float, float]] = {}
+        """peer -> when it was last heard, and when it last reached the state service"""
+        self.next_at = 0.0
+        self.fine_at = 0.0
+        """when we were last served, or knew that nobody is"""
+
+    def tick(self) -> None:
+        if not self._shut_out_now():
+            self.fine_at = self.e.now
+        if self.e.now >= self.next_at:
+            self.next_at = self.e.now + c.PULSE_EVERY_S
+            since = self.e.now - self.e.membership.served_at
+            self.e.emit(PeerSend({"kind": "pulse", "node": self.e.settings.name,
+                                  "served_s": round(min(since, 1e6), 3)}))
+
+    def on_peer(self, message: dict[str, Any]) -> None:
+        self.heard[str(message["node"])] = (
+            self.e.now, self.e.now - float(message["served_s"]))
+
+    def reached(self, node: str) -> bool:
+        """Do messages of this controller arrive here?"""
+        return node == self.e.settings.name or (
+            self.e.now - self.heard.get(node, (-1e9, 0.0))[0] < c.PULSE_LOST_S)
+
+    def works(self, node: str) -> bool:
+        """Does it, as far as it says, reach the state service?"""
+        if node == self.e.settings.name:
+            return self.e.membership.acting()
+        return self.reached(node) and (
+            self.e.now - self.heard[node][1] < c.PULSE_SERVED_S)
+
+    def _shut_out_now(self) -> bool:
+        served = self.e.membership.served_at
+        peers = [peer.name for peer in self.e.settings.peers]
+        if not peers or self.e.now - served < c.SHUT_OUT_S:
+            return False
+        reached = [peer for peer in peers if self.reached(peer)]
+        # In an outage, the others were last served at about the same time.
+        return not reached or any(self.heard[peer][1] - served > c.SERVED_LATER_S
+                                  for peer in reached)
+
+    def shut_out(self) -> bool:
+        """Are we the only ones that the state service does not serve? True as well
+        if we reach nobody: then the others probably go on without us."""
+        return self.e.now - self.fine_at > c.SHUT_OUT_FOR_S
+
+    def leader_lost(self) -> bool:
+        """Does the leader, and not the network between us all, fail? It says that
+        it is not served, or it alone is not heard."""
+        view = self.e.replica.view
+        if view is None or self.works(view.leader):
+            return False
+        others = [peer.name for peer in self.e.settings.peers
+                  if peer.name != view.leader and peer.name in view.members]
+        return self.reached(view.leader) or any(self.works(peer) for peer in others)
--- a/appledock/core/quota.py
+++ b/appledock/core/quota.py
@@ -1,10 +1,27 @@
-"""What teams may use and hold: limits, guarantees and charges."""
+"""What teams may use and hold: limits, guarantees, charges and shares.
+
+A team's limit is shared out between the controllers of a view. The jobs that a
+controller owns may hold up to its share together, so a step inside the share
+needs no write of the team's record, and no two controllers wait for each other.
+Why the limit holds:
+
+* Under one view only its owner changes what a job holds, and only a controller
+  itself lowers its share; a job handed over takes its charge along, in the same
+  transaction that moves the share.
+* A record of an earlier view allows nothing. Whoever first needs it under the
+  new view shares it out anew, by what all jobs hold after everything committed
+  under earlier views. Nothing can have grown meanwhile: that takes this record.
+* A write without an answer counts as if it were carried out, and as if it were
+  not, whichever holds more, until the record's version has moved on.
+* A record read ahead of the watch allows nothing either: a share that grew with
+  a job handed to us would be seen before the job.
+"""
 
 from __future__ import annotations
 
-import math
-from collections.abc import Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from appledock import constants as c
 from appledock import wire
@@ -12,15 +29,51 @@
 from appledock.core.replica import Team
 from appledock.settings import Team as TeamLimits
 
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
 
 @dataclass(frozen=True, slots=True)
 class Amounts:
+    """Cores and cards."""
+
     cpus: float = 0.0
     gpus: float = 0.0
 
+    def __add__(self, other: Amounts) -> Amounts:
+        return Amounts(self.cpus + other.cpus, self.gpus + other.gpus)
+
+    def __sub__(self, other: Amounts) -> Amounts:
+        return Amounts(self.cpus - other.cpus, self.gpus - other.gpus)
+
     def fits(self, limit: Amounts) -> bool:
         return self.cpus <= limit.cpus + c.EPSILON and self.gpus <= limit.gpus + c.EPSILON
 
+    def least(self, other: Amounts) -> Amounts:
+        return Amounts(min(self.cpus, other.cpus), min(self.gpus, other.gpus))
+
+    def most(self, other: Amounts) -> Amounts:
+        return Amounts(max(self.cpus, other.cpus), max(self.gpus, other.gpus))
+
+    def times(self, factor: float) -> Amounts:
+        return Amounts(self.cpus * factor, self.gpus * factor)
+
+    def some(self) -> bool:
+        return self.cpus > c.EPSILON or self.gpus > c.EPSILON
+
+    def count(self, spec: wire.JobSpec) -> int:
+        """How many tasks of this size fit."""
+        tasks = spec.tasks
+        for free, size in ((self.cpus, spec.cpus), (self.gpus, spec.gpus)):
+            if size > 0:
+                tasks = min(tasks, int((free + c.EPSILON) / size))
+        return max(0, tasks)
+
+
+NOTHING = Amounts()
+Shares = dict[str, Amounts]
+"""node -> its part of a team's limit"""
+
 
 def limit(team: TeamLimits) -> Amounts:
     return Amounts(team.cpus_max, team.gpus_max)
@@ -34,48 +87,247 @@
     return Amounts(spec.cpus * tasks, spec.gpus * tasks)
 
 
-def charge(job: Job) -> list[float] | None:
-    """What the job's unsettled attempts hold; None when they hold nothing."""
-    tasks = job.open_tasks
-    if not tasks:
-        return None
-    held = need(job.spec, tasks)
-    return [round(held.cpus, 6), round(held.gpus, 6)]
+def charge(job: Job) -> Amounts:
+    """What the job's unsettled attempts hold."""
+    return need(job.spec, job.open_tasks)
+
+
+def total(shares: Shares) -> Amounts:
+    result = NOTHING
+    for share in shares.values():
+        result = result + share
+    return result
 
 
-def allowed(spec: wire.JobSpec, limits: TeamLimits, record: Team, held_by_job: int) -> int:
-    """How many more tasks of the job the team's limit admits.
+def walk(limits: Amounts, shares: Shares, held: Shares, me: str,
+         queue: list[tuple[str, str, Amounts]]) -> tuple[Shares, Amounts]:
+    """Decide a team's limit as one class: who of its queue may grow now.
 
-    `record` holds the charges of all jobs, `held_by_job` the tasks that this
-    job would still hold. Everything unsettled counts, also what nobody can see.
+    `queue` holds job, owner and need, the most urgent first. Returns what each
+    job of `me` may take, and how much of our share more urgent jobs of others
+    lack: their owners cannot take it by themselves.
     """
-    cpus, gpus = record.used(without=spec.id)
-    count = spec.tasks
-    for size, most, used in ((spec.cpus, limits.cpus_max, cpus),
-                             (spec.gpus, limits.gpus_max, gpus)):
-        if size > 0:
-            count = min(count, int((most - used + c.EPSILON) / size) - held_by_job)
-    return max(0, count)
-
-
-def reserved_above(job: Job, jobs: Iterable[Job]) -> int:
-    """Tasks of this job's size that queued jobs of the same team with a higher
-    priority keep from it: what is freed for them must not be taken by others."""
-    cpus = gpus = 0.0
-    for other in jobs:
-        if (other.spec.team == job.spec.team and other.spec.rank > job.spec.rank
-                and other.queued > 0 and not other.failures):
-            more = need(other.spec, other.queued)
-            cpus, gpus = cpus + more.cpus, gpus + more.gpus
-    tasks = 0
-    for size, kept in ((job.spec.cpus, cpus), (job.spec.gpus, gpus)):
-        if size > 0:
-            tasks = max(tasks, math.ceil(kept / size - c.EPSILON))
-    return tasks
-
-
-def within_guarantee(spec: wire.JobSpec, limits: TeamLimits, record: Team, tasks: int) -> bool:
-    """Would the team still be within its guarantee with `tasks` tasks of this job?"""
-    cpus, gpus = record.used(without=spec.id)
-    more = need(spec, tasks)
-    return Amounts(cpus + more.cpus, gpus + more.gpus).fits(guarantee(limits))
+    pool = (limits - total(shares)).most(NOTHING)
+    unused = {node: (share - held.get(node, NOTHING)).most(NOTHING)
+              for node, share in shares.items()}
+    allowed: Shares = {}
+    release = NOTHING
+    for job, owner, wish in queue:
+        own = wish.least(unused.get(owner, NOTHING))
+        unused[owner] = unused.get(owner, NOTHING) - own
+        drawn = (wish - own).least(pool)
+        pool = pool - drawn
+        if owner == me:
+            allowed[job] = own + drawn
+        else:
+            lack = (wish - own - drawn).least(unused.get(me, NOTHING))
+            unused[me] = unused.get(me, NOTHING) - lack
+            release = release + lack
+    return allowed, release
+
+
+class Quota:
+    """This controller's dealings with the teams' records."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.pending: dict[str, tuple[int, Amounts]] = {}
+        """job -> version that unanswered writes build on, and the most they make it hold"""
+        self.lowered: dict[str, tuple[int, Amounts]] = {}
+        """team -> version that an unanswered write builds on, and our share after it"""
+        self.sure: dict[str, int] = {}
+        """team -> version that we wrote ourselves, on a record known to be whole"""
+        self.writing: set[str] = set()
+        """teams with a write under way"""
+        self.held_cache: dict[str, Shares] = {}
+        self.allowed_cache: dict[str, tuple[Shares, Amounts]] = {}
+
+    # --- what is held -----------------------------------------------------
+    def forget_caches(self) -> None:
+        """Called whenever jobs, records or writes under way have changed."""
+        self.held_cache.clear()
+        self.allowed_cache.clear()
+
+    def on_view(self) -> None:
+        """Unanswered writes were conditional on the former view: they are void."""
+        self.pending.clear()
+        self.lowered.clear()
+        self.forget_caches()
+
+    def held(self, team: str) -> Shares:
+        """What the team's jobs hold, by the controller that owns them."""
+        shares = self.held_cache.get(team)
+        if shares is None:
+            shares = {}
+            replica = self.e.replica
+            for job_id in sorted(replica.by_team.get(team, ())):
+                job = replica.jobs[job_id]
+                amount = self.holds(job)
+                if amount.some():
+                    owner = replica.job_owner(job)
+                    shares[owner] = shares.get(owner, NOTHING) + amount
+            self.held_cache[team] = shares
+        return shares
+
+    def holds(self, job: Job) -> Amounts:
+        amount = charge(job)
+        entry = self.pending.get(job.id)
+        if entry is not None:
+            if entry[0] == job.version:
+                return amount.most(entry[1])
+            del self.pending[job.id]
+        return amount
+
+    def held_in_all(self, team: str) -> Amounts:
+        return total(self.held(team))
+
+    def inside(self, job: Job) -> bool:
+        """Is the job, with all that the team's others hold, within the guarantee?"""
+        limits = self.e.teams.get(job.spec.team)
+        if limits is None:
+            return False
+        more = need(job.spec, job.queued)
+        return (self.held_in_all(job.spec.team) + more).fits(guarantee(limits))
+
+    # --- shares -----------------------------------------------------------
+    def known(self, name: str) -> bool:
+        """Has the watch passed the record, so that no job it speaks of is missing?"""
+        version = self.e.replica.team(name).version
+        return version <= self.e.replica.revision or self.sure.get(name) == version
+
+    def shares(self, name: str) -> Shares:
+        """The limit as it is shared out now; under a new view, as it would be."""
+        team, view = self.e.replica.team(name), self.e.replica.view
+        assert view is not None
+        if team.term != view.term:
+            return dict(self.held(name))
+        result = {node: Amounts(*share) for node, share in team.shares.items()}
+        entry = self.lowered.get(name)
+        if entry is not None:
+            if entry[0] == team.version:
+                me = self.e.settings.name
+                result[me] = result.get(me, NOTHING).least(entry[1])
+            else:
+                del self.lowered[name]
+        return result
+
+    def _decide(self, name: str) -> tuple[Shares, Amounts]:
+        entry = self.allowed_cache.get(name)
+        if entry is None:
+            replica = self.e.replica
+            limits = self.e.teams.get(name)
+            if limits is None or not self.known(name):
+                return {}, NOTHING
+            jobs = [replica.jobs[j] for j in replica.by_team.get(name, set()) & replica.queued]
+            # A job that fails everywhere keeps nothing from the others.
+            jobs.sort(key=lambda job: (job.failures >= c.FAILING, self.e.steps.urgency(job),
+                                       job.id))
+            queue = [(job.id, replica.job_owner(job), need(job.spec, job.queued))
+                     for job in jobs]
+            entry = walk(limit(limits), self.shares(name), self.held(name),
+                         self.e.settings.name, queue)
+            self.allowed_cache[name] = entry
+        return entry
+
+    def allowed(self, job: Job, new: Job) -> int:
+        """How many more tasks the job may start now; `new` has its settled ones off."""
+        amount = self._decide(job.spec.team)[0].get(job.id, NOTHING)
+        return (amount + (charge(job) - charge(new)).most(NOTHING)).count(job.spec)
+
+    def surplus(self, name: str) -> Amounts:
+        """What more urgent jobs of other controllers lack and our share has."""
+        return self._decide(name)[1]
+
+    # --- writing ----------------------------------------------------------
+    def plan(self, job: Job, new: Job, heir: str) -> tuple[bool, Team | None]:
+        """Must the team's record change with this step, and to what?
+
+        `heir` owns the job afterwards. (False, None): the step cannot be made
+        now. (True, None): it needs no change.
+        """
+        name, me = job.spec.team, self.e.settings.name
+        after = charge(new)
+        passes = heir != me and after.some()
+        # Compared with what is recorded, not with what an unanswered write may
+        # have made of it: that write may have brought its own share along.
+        if after.fits(charge(job)) and not passes:
+            return True, None
+        if not self.known(name):
+            return False, None
+        view = self.e.replica.view
+        assert view is not None
+        team, shares = self.e.replica.team(name), self.shares(name)
+        mine = (self.held(name).get(me, NOTHING) - self.holds(job)).most(NOTHING)
+        if team.term == view.term and not passes and (mine + after).fits(
+                shares.get(me, NOTHING)):
+            return True, None
+        if name in self.writing:
+            return False, None
+        most = limit(self.e.teams[name])
+        if passes:
+            share = shares.get(me, NOTHING)
+            shares[me] = mine.most(share - after if after.fits(share) else NOTHING)
+            shares[heir] = shares.get(heir, NOTHING) + after
+        else:
+            shares[me] = shares.get(me, NOTHING).most(mine + after)
+            spare = (most - total(shares)).most(NOTHING)
+            # Some more than needed, so that the next steps need no write.
+            shares[me] = shares[me] + spare.times(
+                c.SHARE_SLACK / max(1, len(view.members))).least(shares[me])
+        if not total(shares).fits(most):
+            return False, None
+        return True, Team(team.version, view.term, _plain(shares, view.members))
+
+    def lower(self, name: str, amount: Amounts) -> Team:
+        """The record with less for us."""
+        view = self.e.replica.view
+        assert view is not None
+        shares, me = self.shares(name), self.e.settings.name
+        shares[me] = (shares.get(me, NOTHING) - amount).most(
+            self.held(name).get(me, NOTHING))
+        return Team(self.e.replica.team(name).version, view.term,
+                    _plain(shares, view.members))
+
+    def begin(self, job: Job | None, new: Job | None, name: str,
+              record: Team | None) -> Callable[[str], None]:
+        """Note a write under way; the result must be called with its outcome."""
+        version = job.version if job is not None else 0
+        earlier = self.pending.get(job.id) if job is not None else None
+        if earlier is not None and earlier[0] != version:
+            earlier = None
+        if job is not None and new is not None:
+            self.pending[job.id] = (version, self.holds(job).most(charge(new)))
+        lowered = None
+        if record is not None:
+            self.writing.add(name)
+            me = self.e.settings.name
+            was = self.shares(name).get(me, NOTHING)
+            lowered = (record.version, was.least(Amounts(*record.shares.get(me, (0.0, 0.0)))))
+            earlier_low = self.lowered.get(name)
+            self.lowered[name] = lowered
+        self.forget_caches()
+        term = self.e.membership.term
+
+        def ended(outcome: str) -> None:
+            self.forget_caches()
+            if record is not None:
+                self.writing.discard(name)
+            if outcome == "unknown" or self.e.membership.term != term:
+                return  # may be applied yet: stays counted; or void by a new view
+            if job is not None and self.pending.get(job.id, (0, None))[0] == version:
+                if earlier is not None and outcome != "ok":
+                    self.pending[job.id] = earlier
+                else:
+                    del self.pending[job.id]
+            if record is not None and self.lowered.get(name) == lowered:
+                if earlier_low is not None and outcome != "ok":
+                    self.lowered[name] = earlier_low
+                else:
+                    del self.lowered[name]
+
+        return ended
+
+
+def _plain(shares: Shares, members: dict[str, str]) -> dict[str, tuple[float, float]]:
+    return {node: (share.cpus, share.gpus) for node, share in shares.items()
+            if node in members and share.some()}
--- a/appledock/core/replica.py
+++ b/appledock/core/replica.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from appledock import constants as c
-from appledock.core.jobs import Job, decode
+from appledock.core.jobs import Attempt, Job, decode
 
 log = logging.getLogger(__name__)
 
@@ -67,14 +67,16 @@
 
 @dataclass(slots=True)
 class Team:
+    """How a team's limit is shared out between the controllers under one view."""
+
     version: int = 0
-    jobs: dict[str, list[float]] = field(default_factory=dict)
-    """job -> cores and cards that its unsettled attempts hold"""
+    term: int = 0
+    shares: dict[str, tuple[float, float]] = field(default_factory=dict)
+    """node -> cores and cards that the jobs it owns may hold"""
 
-    def used(self, without: str = "") -> tuple[float, float]:
-        cpus = sum(charge[0] for job, charge in self.jobs.items() if job != without)
-        gpus = sum(charge[1] for job, charge in self.jobs.items() if job != without)
-        return cpus, gpus
+    def encode(self) -> dict[str, Any]:
+        return {"term": self.term, "shares": {
+            node: [round(cpus, 6), round(gpus, 6)] for node, (cpus, gpus) in self.shares.items()}}
 
 
 class Replica:
@@ -90,9 +92,16 @@
         self.view: View | None = None
         self.catalogue: tuple[int, list[Any]] = (0, [])
         self.settings: tuple[int, dict[str, Any]] = (0, {})
-        self.by_machine: dict[str, set[str]] = {}
+        self.by_machine: dict[str, dict[str, list[Attempt]]] = {}
+        """machine -> job -> its unsettled attempts there"""
+        self.by_team: dict[str, set[str]] = {}
+        """team -> its open jobs"""
+        self.queued: set[str] = set()
+        """open jobs with tasks that wait for a step"""
         self.marks: dict[str, int] = {}
         self.changed_jobs: set[str] = set()
+        self.changed_machines: set[str] = set()
+        """machines whose recorded attempts have changed"""
         self.view_changed = False
         self.members_changed = False
         self.settings_changed = False
@@ -160,7 +169,11 @@
         elif key.startswith(FINAL):
             self.add_final(key[len(FINAL):], value["state"])
         elif key.startswith(TEAMS):
-            self.teams[key[len(TEAMS):]] = Team(version, dict(value["jobs"]))
+            # A record of another form is shared out anew: its term is no view's.
+            self.teams[key[len(TEAMS):]] = Team(
+                version, int(value.get("term", 0)),
+                {node: (float(share[0]), float(share[1]))
+                 for node, share in value.get("shares", {}).items()})
         elif key.startswith(MEMBERS):
             self.members[key[len(MEMBERS):]] = Member(
                 value["incarnation"], value["lease"], version)
@@ -203,25 +216,45 @@
 
     def _set_job(self, job: Job) -> None:
         old = self.jobs.get(job.id)
-        if old is not None:
-            self._unindex(old)
         self.jobs[job.id] = job
-        for attempt in job.attempts:
-            self.by_machine.setdefault(attempt.machine, set()).add(job.id)
+        job.seal()
+        self._index(old, job)
+        self.by_team.setdefault(job.spec.team, set()).add(job.id)
+        if job.queued > 0:
+            self.queued.add(job.id)
+        else:
+            self.queued.discard(job.id)
         self.changed_jobs.add(job.id)
 
-    def _unindex(self, job: Job) -> None:
-        for attempt in job.attempts:
-            jobs = self.by_machine.get(attempt.machine)
+    def _index(self, old: Job | None, new: Job | None) -> None:
+        """Adjust the index of machines by what differs: a step of a large array
+        must not cost a pass over all its machines' rooms and orders."""
+        before = _by_machine(old)
+        after = _by_machine(new)
+        job_id = (new or old).id  # type: ignore[union-attr]
+        all_over = old is not None and new is not None and old.cancelled != new.cancelled
+        for machine, attempts in after.items():
+            self.by_machine.setdefault(machine, {})[job_id] = attempts
+            if all_over or before.get(machine) != attempts:
+                self.changed_machines.add(machine)
+        for machine in before.keys() - after.keys():
+            self.changed_machines.add(machine)
+            jobs = self.by_machine.get(machine)
             if jobs is not None:
-                jobs.discard(job.id)
+                jobs.pop(job_id, None)
                 if not jobs:
-                    del self.by_machine[attempt.machine]
+                    del self.by_machine[machine]
 
     def _forget_job(self, job_id: str) -> None:
         job = self.jobs.pop(job_id, None)
         if job is not None:
-            self._unindex(job)
+            self._index(job, None)
+            self.queued.discard(job_id)
+            team = self.by_team.get(job.spec.team)
+            if team is not None:
+                team.discard(job_id)
+                if not team:
+                    del self.by_team[job.spec.team]
             self.changed_jobs.add(job_id)
 
     def load(self, rows: list[Any], revision: int) -> None:
@@ -251,3 +284,10 @@
             self.revision = revision
             if len(self.marks) > 200:
                 self.marks = {k: v for k, v in self.marks.items() if v > revision}
+
+
+def _by_machine(job: Job | None) -> dict[str, list[Attempt]]:
+    result: dict[str, list[Attempt]] = {}
+    for attempt in job.attempts if job is not None else ():
+        result.setdefault(attempt.machine, []).append(attempt)
+    return result
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -129,6 +129,11 @@
         spec = asked.spec
         assert spec is not None
         job = Job(spec, self.e.wall)
+        member, view = self.e.membership, self.e.replica.view
+        if member.acting() and view is not None and not self.e.pulse.works(
+                view.owner_of(spec.id)):
+            # Its owner would not see it before its lease is over: it is ours.
+            job.handoff = (member.node, member.incarnation)
         record = job.encode()
         if len(wire.encode(record)) > self.e.value_bytes:
             self.answer(asked.ask, 400, {"error": "description too long"})
--- /dev/null
+++ b/appledock/core/rooms.py
@@ -0,0 +1,128 @@
+"""Free room of every machine that may take steps, adjusted by what changed.
+
+Reports, records, reservations and cordons name the machines they concern; only
+those are counted anew. Machines that fell silent are found by a sweep.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core.placement import Room
+from appledock.core.workers import Worker
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+Entry = tuple[str, wire.JobSpec, int]
+"""machine, job and number of its tasks in a step under way"""
+
+
+class Rooms:
+    """The machines that may take steps, with what they have free."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.e = engine
+        self.table: dict[str, Room] = {}
+        self.open: dict[str, Room] = {}
+        """those that have anything free"""
+        self.dirty: set[str] = set()
+        self.reserved: dict[str, list[Entry]] = {}
+        """job -> what its step under way will take"""
+        self.reserved_on: dict[str, dict[str, int]] = {}
+        """machine -> job -> tasks of its step under way"""
+        self.next_sweep = 0.0
+
+    # --- what changed -----------------------------------------------------
+    def touch(self, machine: str) -> None:
+        self.dirty.add(machine)
+
+    def touch_all(self) -> None:
+        """Types or owners changed."""
+        self.dirty.update(self.e.workers.table)
+        self.dirty.update(self.table)
+
+    def reserve(self, job_id: str, entries: list[Entry]) -> None:
+        """A step is being written: its room is taken until the outcome is known."""
+        self.reserved[job_id] = entries
+        for machine, _, count in entries:
+            self.reserved_on.setdefault(machine, {})[job_id] = count
+            self.dirty.add(machine)
+
+    def release(self, job_id: str) -> None:
+        for machine, _, _ in self.reserved.pop(job_id, ()):
+            jobs = self.reserved_on.get(machine)
+            if jobs is not None:
+                jobs.pop(job_id, None)
+                if not jobs:
+                    del self.reserved_on[machine]
+            self.dirty.add(machine)
+
+    def sweep(self) -> None:
+        """Machines stop taking steps by mere silence, which no message tells."""
+        if self.e.now < self.next_sweep:
+            return
+        self.next_sweep = self.e.now + c.SILENCE_EVERY_S
+        for name, room in self.table.items():
+            worker = self.e.workers.table.get(name)
+            if worker is None or not self.e.placeable(worker) or (
+                    room.session != worker.session):
+                self.dirty.add(name)
+
+    # --- reading ----------------------------------------------------------
+    def refresh(self) -> None:
+        """Count anew what has changed."""
+        for name in sorted(self.dirty):
+            worker = self.e.workers.table.get(name)
+            if worker is None or not self.e.placeable(worker):
+                self.table.pop(name, None)
+                self.open.pop(name, None)
+                continue
+            room = self.table[name] = self._count(worker)
+            if room.cpus > c.EPSILON or room.gpus > c.EPSILON:
+                self.open[name] = room
+            else:
+                self.open.pop(name, None)
+        self.dirty.clear()
+
+    def _count(self, worker: Worker) -> Room:
+        report = worker.report
+        assert report is not None
+        kind = self.e.types[report.type]
+        fetching: set[str] = set()
+        room = Room(worker.id, kind, report.zone, report.spot, report.session, kind.cpus,
+                    kind.gpus, kind.memory_gb, set(worker.images), fetching,
+                    self.e.replica.owner_of(worker.id), len(worker.failed_jobs))
+        jobs = self.e.replica.jobs
+        recorded = 0
+        for job_id, attempts in self.e.replica.by_machine.get(worker.id, {}).items():
+            spec = jobs[job_id].spec
+            for attempt in attempts:
+                if attempt.session != report.session:
+                    continue
+                for task in attempt.tasks:
+                    entry = worker.tasks.get((f"{job_id}/{task}", attempt.number))
+                    if entry is not None:
+                        recorded += 1
+                        if entry.state == wire.EXITED:
+                            continue
+                    room.take(spec)
+                    if spec.image not in room.images and (
+                            entry is None or entry.state == wire.FETCHING):
+                        fetching.add(spec.image)
+        if recorded < len(worker.tasks) and self._stray(worker):
+            room.cpus = room.memory_gb = -1.0  # a stray of unknown size
+        for job_id, count in self.reserved_on.get(worker.id, {}).items():
+            room.take(next(spec for machine, spec, _ in self.reserved[job_id]
+                           if machine == worker.id), count)
+        return room
+
+    def _stray(self, worker: Worker) -> bool:
+        """Is a task there that no record explains?"""
+        known = {(f"{job_id}/{task}", attempt.number)
+                 for job_id, attempts in self.e.replica.by_machine.get(worker.id, {}).items()
+                 for attempt in attempts for task in attempt.tasks}
+        return any(entry.state != wire.EXITED and key not in known
+                   for key, entry in worker.tasks.items())
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -7,13 +7,13 @@
 
 from appledock import constants as c
 from appledock import wire
-from appledock.core import placement, quota
+from appledock.core import placement
 from appledock.core.budget import Priority
 from appledock.core.events import Drop, Put, StoreReply, TxnPlan
 from appledock.core.jobs import Attempt, Job
 from appledock.core.placement import Room
 from appledock.core.preemption import Preemption
-from appledock.core.replica import FINAL, JOBS, TEAMS
+from appledock.core.replica import FINAL, JOBS, TEAMS, Team
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -28,9 +28,9 @@
         self.changed_workers: set[str] = set()
         self.dirty: set[str] = set()
         self.busy: set[str] = set()
-        self.busy_teams: set[str] = set()
-        self.reserved: dict[str, list[tuple[str, wire.JobSpec, int]]] = {}
-        """job -> machine, size and number of tasks in a step under way"""
+        self.later: set[str] = set()
+        """jobs to be looked at again soon"""
+        self.next_later = 0.0
         self.retry_at: dict[str, float] = {}
         self.written_at: dict[str, float] = {}
         self.lost_since: dict[str, float] = {}
@@ -51,12 +51,18 @@
             return
         replica = self.e.replica
         for worker in self.changed_workers:
-            self.dirty |= replica.by_machine.get(worker, set())
+            self.dirty.update(replica.by_machine.get(worker, ()))
         self.changed_workers.clear()
         if self.e.now >= self.next_sweep:
-            self.next_sweep = self.e.now + 1.0
-            self.dirty.update(j for j, job in replica.jobs.items() if self.e.owns_job(job))
+            self.next_sweep = self.e.now + c.SWEEP_EVERY_S
+            self.dirty.update(j for j, job in replica.jobs.items()
+                              if (job.attempts or job.cancelled) and self.e.owns_job(job))
             self._watch_lost()
+            self._release_shares()
+        if self.later and self.e.now >= self.next_later:
+            self.next_later = self.e.now + c.QUEUE_EVERY_S
+            self.dirty |= self.later
+            self.later.clear()
         due, self.dirty = self.dirty, set()
         for job_id in sorted(due):
             job = replica.jobs.get(job_id)
@@ -76,8 +82,7 @@
             table.pop(job_id, None)
 
     def _ready(self, job: Job) -> bool:
-        return (job.id not in self.busy and job.spec.team not in self.busy_teams
-                and self.e.now >= self.retry_at.get(job.id, 0.0))
+        return job.id not in self.busy and self.e.now >= self.retry_at.get(job.id, 0.0)
 
     def _watch_lost(self) -> None:
         """Stopped attempts that never showed up on their worker: a launch may
@@ -95,7 +100,11 @@
         if attempt.term != self.e.membership.term:
             return False
         worker = self.e.workers.table.get(attempt.machine)
-        return worker is None or any(
+        if worker is None or self.e.now - worker.heard_at > c.SHOW_AFTER_S:
+            # A silent machine would not show that it has seen a new term, which
+            # costs the whole cluster; its lease or its deletion settles it.
+            return False
+        return any(
             (f"{job.id}/{task}", attempt.number) not in worker.tasks for task in attempt.tasks)
 
     # --- stopping ---------------------------------------------------------
@@ -152,7 +161,7 @@
     def _settle(self, job: Job) -> None:
         if not self._ready(job):
             if job.attempts or job.cancelled:
-                self.dirty.add(job.id)
+                self.later.add(job.id)
             return
         new = self.apply_evidence(job)
         over = self._over(new or job)
@@ -170,7 +179,7 @@
             assert new is not None
             self._commit(job, new, Priority.PROGRESS)
         else:
-            self.dirty.add(job.id)
+            self.later.add(job.id)
 
     @staticmethod
     def _over(job: Job) -> str | None:
@@ -183,57 +192,58 @@
     # --- placing ----------------------------------------------------------
     def urgency(self, job: Job) -> tuple[float, ...]:
         """Classes first: guarantee, rank, then slack and age inside the class."""
-        limits = self.e.teams.get(job.spec.team)
-        record = self.e.replica.team(job.spec.team)
-        inside = limits is not None and quota.within_guarantee(
-            job.spec, limits, record, job.open_tasks + job.queued)
+        waited = self.e.wall - job.submitted
+        if not job.steps and waited > c.AGED_S:
+            # Ageing: first within its rank, later before all: every job begins.
+            return (-1 if waited > c.OVERDUE_S else 0, -job.spec.rank, -1, job.submitted)
+        inside = self.e.quota.inside(job)
         if job.spec.deadline_s is None:
             return (0 if inside else 1, -job.spec.rank, 0, job.submitted)
         # More asked than can be done: first the class of jobs that can still meet
         # their deadline, then a multiple of it that an aim names, then the rest;
         # inside a class what is nearest to being finished.
-        elapsed = self.e.wall + job.spec.estimate_s - job.submitted
+        elapsed = waited + job.spec.estimate_s
         hope = sum(elapsed > job.spec.deadline_s * times for times in self.e.deadline_times)
+        if hope == len(self.e.deadline_times):
+            # Too late for every aim: in order of age, so that none waits for ever.
+            return (0 if inside else 1, -job.spec.rank, hope, job.submitted)
         left = (job.spec.tasks - len(job.done)) * max(job.spec.estimate_s, 1.0)
         return (0 if inside else 1, -job.spec.rank, hope, left * max(job.spec.cpus, 0.1))
 
     def _place_all(self) -> None:
         replica = self.e.replica
-        waiting = [job for job in replica.jobs.values()
-                   if job.queued > 0 and self.e.owns_job(job)]
+        waiting = [job for job in (replica.jobs[j] for j in replica.queued)
+                   if self.e.owns_job(job)]
         if not waiting:
             return
-        rooms = self.e.rooms()
+        self.e.rooms.refresh()
+        rooms = list(self.e.rooms.open.values())
         own = [room for room in rooms if room.owner == self.e.settings.name]
         self.preemption.refresh()
-        full: set[tuple[object, ...]] = set()
+        full = _Full()
         crowded = self.e.budget.waiting(Priority.STEP) > c.CROWDED
-        for job in sorted(waiting, key=self.urgency):
+        for job in sorted(waiting, key=lambda job: (self.urgency(job), job.id)):
             if not self._ready(job) or (crowded and not job.spec.service and self.e.now
                                         < self.written_at.get(job.id, -1e9) + c.GATHER_S):
                 self.e.queue_dirty = True
                 continue
-            spec = job.spec
-            like = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.zone,
-                    tuple(spec.types or ()), spec.one_zone, spec.spread)
-            if like in full and not (spec.one_zone or spec.spread):
-                # Like tasks are decided as a class: none of this size fits now.
+            if full.covers(job.spec):
+                # Like tasks are decided as a class: nothing this large fits now.
                 self.blocked[job.id] = "no room"
                 continue
             if not self._place(job, rooms, own) and self.blocked.get(job.id) == "no room":
-                full.add(like)
+                full.add(job.spec)
 
     def _place(self, job: Job, rooms: list[Room], own: list[Room]) -> bool:
         """Request the job's next step, or hand it on; False if neither can be."""
-        own = [room for room in own if self.preemption.free_for(room.machine, job)]
+        if self.preemption.claimed:
+            own = [room for room in own if self.preemption.free_for(room.machine, job)]
         limits = self.e.teams.get(job.spec.team)
         if limits is None:
             self.blocked[job.id] = "unknown team"
             return False
         new = self.apply_evidence(job) or job.copy()
-        record = self.e.replica.team(job.spec.team)
-        most = quota.allowed(job.spec, limits, record, new.open_tasks)
-        most -= quota.reserved_above(job, self.e.replica.jobs.values())
+        most = self.e.quota.allowed(job, new)
         gang = job.spec.gang
         count = min(new.queued, most, new.queued if gang else int(self.e.admin["step_tasks"]))
         if count <= 0 or (gang and count < new.queued):
@@ -241,7 +251,7 @@
             zones = self._zones(new)
             if gang or zones is None:
                 return False
-            handoff = self.preemption.make_room(job, rooms, 1, zones, within_team=True)
+            handoff = self.preemption.make_room(job, 1, zones, within_team=True)
             return handoff is not None and self._hand_over(job, handoff)
         if job.spec.kind == wire.GANG and new.attempts:
             self.blocked[job.id] = "rest of the gang is not settled"
@@ -271,7 +281,7 @@
         handoff = self._hand_off(job, rooms, left, gang) if left else None
         if not placed and handoff is None:
             if not gang and zones is not None:
-                handoff = self.preemption.make_room(job, rooms, count, zones)
+                handoff = self.preemption.make_room(job, count, zones)
             if handoff is None:
                 self.blocked[job.id] = "no room"
                 return False
@@ -289,10 +299,32 @@
         elif new.handoff and view.members.get(new.handoff[0]) != new.handoff[1]:
             new.handoff = None
         if len(wire.encode(new.encode())) > self.e.value_bytes:
+            # The record holds only so many attempts at a time: the rest of the
+            # tasks wait until some are settled, the job is never stuck.
+            for room, _ in placed:
+                self.e.rooms.touch(room.machine)
+            if gang or len(placed) < 2:
+                self.blocked[job.id] = "record full"
+                return False
+            return self._commit_part(job, new, placed)
+        reserved = [(room.machine, job.spec, number) for room, number in placed]
+        if self._commit(job, new, self._priority(job), reserved):
+            return True
+        for machine, _, _ in reserved:
+            self.e.rooms.touch(machine)
+        return False
+
+    def _commit_part(self, job: Job, new: Job, placed: list[tuple[Room, int]]) -> bool:
+        """The step with half of its machines, and half of that, until it fits."""
+        new.handoff = job.handoff
+        while placed and len(wire.encode(new.encode())) > self.e.value_bytes:
+            drop = len(placed) - len(placed) // 2
+            placed, new.attempts = placed[:-drop], new.attempts[:-drop]
+        if not placed:
             self.blocked[job.id] = "record full"
             return False
-        reserved = [(room.machine, job.spec, number) for room, number in placed]
-        return self._commit(job, new, self._priority(job), reserved)
+        return self._commit(job, new, self._priority(job),
+                            [(room.machine, job.spec, number) for room, number in placed])
 
     @staticmethod
     def _priority(job: Job) -> Priority:
@@ -351,31 +383,24 @@
             plan.writes += [Drop(JOBS + job.id), Put(FINAL + job.id, {"state": over})]
         else:
             plan.writes.append(Put(JOBS + job.id, new.encode()))
-        team, charge = job.spec.team, quota.charge(new)
-        record = self.e.replica.team(team)
-        charges: dict[str, list[float]] | None = None
-        if job.attempts or new.attempts:
-            # Also when the charge looks unchanged: an old copy of the team's record
-            # that happens to show the new charge would let the real one go wrong.
-            plan.conditions[TEAMS + team] = record.version
-        if record.jobs.get(job.id) != charge:
-            charges = {k: v for k, v in record.jobs.items() if k != job.id}
-            if charge is not None:
-                charges[job.id] = charge
+        team = job.spec.team
+        good, record = self.e.quota.plan(job, new, self.e.replica.job_owner(new))
+        if not good:
+            self.blocked[job.id] = "team record under way"
+            self.later.add(job.id)
+            return False
+        if record is not None:
             plan.conditions[TEAMS + team] = record.version
-            plan.writes.append(Put(TEAMS + team, {"jobs": charges}))
-            if len(wire.encode({"jobs": charges})) > self.e.value_bytes and charge is not None:
-                self.blocked[job.id] = "team record full"
-                return False
-            self.busy_teams.add(team)
+            plan.writes.append(Put(TEAMS + team, record.encode()))
         self.busy.add(job.id)
         if reserved:
-            self.reserved[job.id] = reserved
+            self.e.rooms.reserve(job.id, reserved)
+        ended = self.e.quota.begin(job, new, team, record)
 
         def done(reply: StoreReply) -> None:
             self.busy.discard(job.id)
-            self.busy_teams.discard(team)
-            self.reserved.pop(job.id, None)
+            self.e.rooms.release(job.id)
+            ended(reply.outcome)
             self.e.queue_dirty = True
             self.dirty.add(job.id)
             if reply.outcome == "ok":
@@ -395,8 +420,8 @@
                     new.version = revision
                     self.e.replica.set_job(new)
                     self._back_off(job, new)
-                if charges is not None:
-                    self.e.replica.put(TEAMS + team, {"jobs": charges}, revision)
+                if record is not None:
+                    self._team_written(team, record, revision)
                 return
             pause = c.RETRY_MIN_S + self.e.rng.random() * (c.RETRY_MAX_S - c.RETRY_MIN_S)
             if reply.outcome == "conflict":
@@ -404,11 +429,40 @@
                 self.e.read_keys(reply.data.failed)
             elif reply.outcome == "unknown":
                 # It may be applied, now or later: read before acting on either.
-                self.e.read_keys([JOBS + job.id, TEAMS + team])
+                self.e.read_keys([JOBS + job.id] + ([TEAMS + team] if record else []))
             self.retry_at[job.id] = self.e.now + pause
 
         return self.e.store("txn", (plan,), priority, done)
 
+    def _team_written(self, team: str, record: Team, revision: int) -> None:
+        self.e.quota.sure[team] = revision
+        self.e.replica.put(TEAMS + team, record.encode(), revision)
+        self.e.quota.forget_caches()
+
+    def _release_shares(self) -> None:
+        """Give up shares of teams' limits that more urgent jobs of others lack."""
+        quota = self.e.quota
+        for team in self.e.replica.by_team:
+            surplus = quota.surplus(team)
+            if not surplus.some() or team in quota.writing:
+                continue
+            record = quota.lower(team, surplus)
+            plan = TxnPlan(self.e.membership.conditions(), [Put(TEAMS + team, record.encode())])
+            plan.conditions[TEAMS + team] = record.version
+            self._release(team, record, plan)
+
+    def _release(self, team: str, record: Team, plan: TxnPlan) -> None:
+        ended = self.e.quota.begin(None, None, team, record)
+
+        def done(reply: StoreReply) -> None:
+            ended(reply.outcome)
+            if reply.outcome == "ok":
+                self._team_written(team, record, reply.data.revision)
+            elif reply.outcome in ("conflict", "unknown"):
+                self.e.read_keys([TEAMS + team])
+
+        self.e.store("txn", (plan,), Priority.STEP, done)
+
     def _back_off(self, job: Job, new: Job) -> None:
         """A job that fails everywhere waits longer and longer."""
         if new.failures > job.failures:
@@ -416,3 +470,25 @@
                         c.ERROR_BACKOFF_S * 2 ** min(10, max(0, new.failures - 2)))
             if new.failures >= 2:
                 self.retry_at[job.id] = self.e.now + pause
+
+
+class _Full:
+    """Sizes that found no room in this pass, by what the jobs allow."""
+
+    def __init__(self) -> None:
+        self.sizes: dict[tuple[object, ...], list[tuple[float, float, float]]] = {}
+
+    @staticmethod
+    def _key(spec: wire.JobSpec) -> tuple[object, ...]:
+        return (spec.spot, spec.zone, tuple(spec.types or ()), spec.rank, spec.service)
+
+    def add(self, spec: wire.JobSpec) -> None:
+        if not (spec.one_zone or spec.spread):
+            self.sizes.setdefault(self._key(spec), []).append(
+                (spec.cpus, spec.gpus, spec.memory_gb))
+
+    def covers(self, spec: wire.JobSpec) -> bool:
+        """Did a task no larger than these find no room?"""
+        return not (spec.one_zone or spec.spread) and any(
+            cpus <= spec.cpus and gpus <= spec.gpus and memory <= spec.memory_gb
+            for cpus, gpus, memory in self.sizes.get(self._key(spec), ()))
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -31,6 +31,10 @@
     report: wire.Report | None = None
     heard_at: float = -1e9
     """when the last report reached us or a peer passed it on"""
+    well_at: float = -1e9
+    """when a report last showed that our answers reach the worker"""
+    first_term: int = 0
+    """term when this controller first heard of the machine"""
     bound: float = 0.0
     """no controller has answered a report of this worker after this moment,
     or can do so before we know of it"""
@@ -65,6 +69,15 @@
     def session(self) -> int:
         return self.report.session if self.report else 0
 
+    @property
+    def proven(self) -> bool:
+        """Has it answered to a term given out since we first heard of it?
+
+        Guards against copies of old reports: they make a controller without
+        memory take a dead machine for a live one, but show an old token.
+        """
+        return self.report is not None and self.report.token >= self.first_term
+
 
 class Workers:
     """The table of workers and all dealings with them."""
@@ -78,6 +91,7 @@
         self.orders_due: set[str] = set()
         self.start_bound = 0.0
         self.next_remind = 0.0
+        self.next_look = 0.0
 
     def get(self, name: str) -> Worker:
         worker = self.table.get(name)
@@ -102,7 +116,7 @@
         if owner != self.e.settings.name:
             if self.learn(report):
                 self.pass_on(worker)
-            self._count_stranger(worker, owner)
+                self._count_stranger(worker, owner)
             self.e.emit(Reply(ask, 421, wire.Redirect(owner)))
             return
         worker.strangers = (0.0, 0)
@@ -138,6 +152,13 @@
         if old is not None and (report.session, report.seq) <= (old.session, old.seq):
             return False
         now = self.e.now
+        if old is None:
+            worker.first_term = self.e.membership.term
+        if old is None or (old.session == report.session
+                           and now - worker.heard_at < c.ANSWER_LOST_S):
+            # A worker whose answers do not arrive still reports, but only after
+            # it has waited for each answer in vain.
+            worker.well_at = now
         worker.heard_at = now
         worker.report = report
         before = worker.tasks
@@ -170,7 +191,10 @@
                 or old.token != report.token or old.notice_s != report.notice_s
                 or any(before[k].state != t.state for k, t in worker.tasks.items())):
             self.e.steps.worker_changed(worker.id)
+            self.e.rooms.touch(worker.id)
             self.e.queue_dirty = True
+        elif worker.id not in self.e.rooms.table:
+            self.e.rooms.touch(worker.id)
         return True
 
     def pass_on(self, worker: Worker, force: bool = False) -> None:
@@ -192,10 +216,10 @@
         now, term = self.e.now, self.e.membership.term
         jobs = self.e.replica.jobs
         opened: dict[Key, tuple[Job, Attempt]] = {}
-        for job_id in sorted(self.e.replica.by_machine.get(worker.id, ())):
+        for job_id, attempts in sorted(self.e.replica.by_machine.get(worker.id, {}).items()):
             job = jobs[job_id]
-            for attempt in job.attempts:
-                if attempt.machine == worker.id and attempt.session == report.session:
+            for attempt in attempts:
+                if attempt.session == report.session:
                     for number in attempt.tasks:
                         opened[(f"{job_id}/{number}", attempt.number)] = (job, attempt)
         for key, entry in worker.tasks.items():
@@ -259,13 +283,6 @@
             tag, report.addr, wire.Orders(term, report.session, commands), c.ORDERS_TIMEOUT_S),
             answered)
 
-    def job_changed(self, job_id: str) -> None:
-        """A record changed: its machines may need orders at once."""
-        job = self.e.replica.jobs.get(job_id)
-        if job is not None:
-            for attempt in job.attempts:
-                self.orders_due.add(attempt.machine)
-
     def flush_orders(self) -> None:
         due, self.orders_due = self.orders_due, set()
         if not self.e.membership.acting():
@@ -323,19 +340,21 @@
         if now >= self.next_remind:
             self.next_remind = now + c.PEER_RESEND_S
             self._remind()
+        if now < self.next_look:
+            return
+        self.next_look = now + c.SILENCE_EVERY_S
         lease = self.e.settings.cluster.workers.lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
         for machine in list(self.e.replica.by_machine):
             worker = self.get(machine)
             if worker.id in self.gone:
                 continue
-            if self.owned(machine):
-                top = max((a.session for j in self.e.replica.by_machine[machine]
-                           for a in self.e.replica.jobs[j].attempts
-                           if a.machine == machine), default=0)
+            # A session heard of lives on for a lease even if nobody answers it.
+            since = max(worker.bound, worker.heard_at)
+            if now >= since + lease and self.owned(machine):
+                top = max((a.session for attempts in self.e.replica.by_machine[machine].values()
+                           for a in attempts), default=0)
                 session = max(top, worker.session)
-                # A session heard of lives on for a lease even if nobody answers it.
-                since = max(worker.bound, worker.heard_at)
-                if session > worker.lapsed and now >= since + lease:
+                if session > worker.lapsed:
                     # The view must be proven to have been ours until then: a
                     # newer owner may have renewed the lease.
                     if member.view_sent >= since + lease:
@@ -386,6 +405,7 @@
         if session > worker.lapsed:
             worker.lapsed = session
             self.e.steps.worker_changed(machine)
+            self.e.rooms.touch(machine)
             self.e.queue_dirty = True
 
     def set_gone(self, machines: list[str]) -> None:
@@ -393,6 +413,7 @@
             if machine not in self.gone:
                 self.gone[machine] = self.e.now
                 self.table.pop(machine, None)
+                self.e.rooms.touch(machine)
                 self.e.steps.worker_changed(machine)
         if len(self.gone) > 20_000:
             for machine in sorted(self.gone, key=self.gone.__getitem__)[:10_000]:
@@ -449,7 +470,6 @@
 
 def session_open(engine: Engine, worker: Worker) -> bool:
     """Does a job of ours have an open attempt in the worker's session?"""
-    return any(engine.owns_job(engine.replica.jobs[j]) and any(
-        a.machine == worker.id and a.session > worker.lapsed
-        for a in engine.replica.jobs[j].attempts)
-        for j in engine.replica.by_machine.get(worker.id, ()))
+    return any(engine.owns_job(engine.replica.jobs[job_id]) and any(
+        attempt.session > worker.lapsed for attempt in attempts)
+        for job_id, attempts in engine.replica.by_machine.get(worker.id, {}).items())
--- a/tests/standins/clock.py
+++ b/tests/standins/clock.py
@@ -10,15 +10,18 @@
 
 @dataclass
 class Cut:
-    """Messages between the two groups are held (delivered at the end) or dropped."""
+    """Messages between the two groups are held (delivered at the end) or dropped;
+    if `one_way`, only those from left to right."""
 
     left: set[str]
     right: set[str]
     until: float
     hold: bool
+    one_way: bool = False
 
     def parts(self, a: str, b: str) -> bool:
-        return (a in self.left and b in self.right) or (b in self.left and a in self.right)
+        return (a in self.left and b in self.right) or (
+            not self.one_way and b in self.left and a in self.right)
 
 
 class Clock:
@@ -44,8 +47,9 @@
             action()
         self.now = until
 
-    def cut(self, left: set[str], right: set[str], seconds: float, hold: bool) -> None:
-        self.cuts.append(Cut(left, right, self.now + seconds, hold))
+    def cut(self, left: set[str], right: set[str], seconds: float, hold: bool,
+            one_way: bool = False) -> None:
+        self.cuts.append(Cut(left, right, self.now + seconds, hold, one_way))
 
     def parted(self, a: str, b: str) -> Cut | None:
         self.cuts = [cut for cut in self.cuts if cut.until > self.now]
--- a/tests/standins/judge.py
+++ b/tests/standins/judge.py
@@ -22,6 +22,11 @@
         self.asked_cancel: set[str] = set()
         self.broken: list[str] = []
         self.starts = 0
+        self.submitted: dict[str, float] = {}
+        self.begun: dict[str, float] = {}
+        """job -> when a task of it first started"""
+        self.heard: dict[str, float] = {}
+        """job -> when a question about it was last answered"""
 
     def breaks(self, rule: str, what: str) -> None:
         self.broken.append(f"{self.clock.now:.2f} {rule}: {what}")
@@ -32,6 +37,7 @@
     # --- tasks ------------------------------------------------------------
     def started(self, task: str, machine: dict[str, Any]) -> None:
         self.starts += 1
+        self.begun.setdefault(task.split("/", maxsplit=1)[0], self.clock.now)
         job = self.jobs[task.split("/", maxsplit=1)[0]]
         there = self.on.setdefault(task, {})
         if any(name != machine["id"] for name in there):
@@ -72,11 +78,38 @@
         for task in self.on:
             self._check_cancelled(task)
 
+    # --- at the end of the day --------------------------------------------
+    def day_end(self, peace: float, known_s: float = 75.0, begin_s: float = 240.0) -> list[str]:
+        """What the day-end checks find, troubles being over since `peace`."""
+        now, found = self.clock.now, []
+        live = [job for job in self.accepted if job not in self.asked_cancel]
+        for job in live:
+            if job not in self.final and now - max(self.heard[job], peace) > known_s:
+                found.append(f"forgotten: no question about {job} is answered")
+        for label, field in (("class", "berth"), ("team", "owner")):
+            for value in sorted({self.jobs[job][field] for job in live}):
+                found += self._served(f"{label} {value}", [
+                    job for job in live if self.jobs[job][field] == value])
+        for value in sorted({self.jobs[job]["berth"] for job in live}):
+            jobs = [job for job in live if self.jobs[job]["berth"] == value]
+            jobs.sort(key=lambda job: -self.jobs[job]["crates"])
+            largest = jobs[:max(1, len(jobs) // 4)]
+            found += self._served(f"largest of {value}", largest)
+            found += [f"{job} ({self.jobs[job]['crates']} tasks) did not begin in {begin_s:g} s"
+                      for job in largest
+                      if self.begun.get(job, now) - self.submitted[job] > begin_s]
+        return found
+
+    def _served(self, what: str, jobs: list[str]) -> list[str]:
+        begun = sum(job in self.begun for job in jobs)
+        return [f"{what}: {begun} of {len(jobs)} served"] if 2 * begun < len(jobs) else []
+
     # --- users ------------------------------------------------------------
     def answered(self, job: str, sent: float, status: int, state: str | None,
                  poll: bool) -> None:
         now = self.clock.now
         if status in (200, 201):
+            self.heard[job] = now
             if job not in self.jobs:
                 self.breaks("invented", job)
             else:
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -218,6 +218,8 @@
         """share of the state service's requests that arrive up to 20 s late"""
         self.late_orders = 0.0
         """share of direct orders that arrive some seconds late"""
+        self.copies = 0.0
+        """share of reports of which a copy arrives somewhere, seconds to minutes late"""
         self.nodes: dict[str, Node] = {}
         for name in self.names:
             self.nodes[name] = Node(self, name)
@@ -231,6 +233,9 @@
     def call_node(self, source: str, node: str, method: str, path: str, body: bytes,
                   answer: Answer) -> None:
         target = self.nodes[node]
+        if path == wire.PATH_REPORT and self.clock.rng.random() < self.copies:
+            self.late_copy(self.clock.rng.choice(self.names), body,
+                           2 + self.clock.rng.random() * 40)
         if not target.up:
             self.clock.after(0.01, lambda: answer(0, {}))
             return
@@ -243,6 +248,27 @@
 
         self.clock.send(source, node, arrive)
 
+    def late_copy(self, node: str, report: bytes, delay: float) -> None:
+        """An old report comes again; whatever is answered reaches nobody."""
+        def arrive() -> None:
+            if self.nodes[node].up:
+                self.nodes[node].request("POST", wire.PATH_REPORT, report, lambda *_: None)
+
+        self.clock.after(delay, arrive)
+
+    def refuse_peers(self, seconds: float) -> None:
+        """Connections between controllers are refused; then they are opened anew."""
+        for name in self.names:
+            self.clock.cut({name}, set(self.names) - {name}, seconds, False)
+
+        def reopen() -> None:
+            for node in self.nodes.values():
+                for peer in self.names:
+                    if node.up and peer != node.name:
+                        node.push(ev.PeerOpened(peer))
+
+        self.clock.after(seconds + 0.4, reopen)
+
     # --- users ------------------------------------------------------------
     def spec(self, number: int) -> dict[str, Any]:
         """A random job; `run_s` is known to the workers alone."""
@@ -265,6 +291,7 @@
     def submit(self, spec: dict[str, Any], cancel_after: float | None = None) -> None:
         job = spec["id"]
         self.judge.jobs[job] = spec
+        self.judge.submitted.setdefault(job, self.clock.now)
         body = json.dumps({k: v for k, v in spec.items() if k != "run_s"}).encode()
         self._ask(job, "POST", "/v2/runs", body, (200, 201), lambda: self._poll(job))
         if cancel_after is not None:
@@ -280,6 +307,8 @@
     def _ask(self, job: str, method: str, path: str, body: bytes, good: tuple[int, ...],
              then: Callable[[], None] | None) -> None:
         up = [name for name in self.names if self.nodes[name].up]
+        # The load balancer prefers the healthy.
+        up = [name for name in up if self.nodes[name].engine.healthy()] or up
         sent = self.clock.now
         open_ = [True]
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -16,8 +16,7 @@
 from appledock.core.fleet import Fleet
 from appledock.core.jobs import Attempt, Job, decode
 from appledock.core.placement import Room
-from appledock.core.replica import JOBS, TEAMS, Replica, Team, View
-from appledock.settings import Team as TeamLimits
+from appledock.core.replica import JOBS, TEAMS, Replica, View
 from tests.test_requests import engine, spec
 
 KIND = wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"], fetch_gb_per_s=0.5)
@@ -65,26 +64,37 @@
         assert total == min(tasks, best)
 
 
-@settings(derandomize=True, max_examples=200)
-@given(st.lists(st.integers(0, 5), max_size=4), st.integers(0, 5), st.integers(1, 4),
-       st.integers(0, 20))
-def test_quota_against_counting_one_by_one(others: list[int], held: int, size: int,
-                                           most: int) -> None:
-    job = spec(crates=10, cores=float(size))
-    record = Team(1, {f"job-{i}": [float(n), 0.0] for i, n in enumerate(others)})
-    record.jobs[job.id] = [99.0, 0.0]  # the job's own charge is replaced, not added
-    plain = 0
-    while plain < 10 and sum(others) + (held + plain + 1) * size <= most:
-        plain += 1
-    assert quota.allowed(job, TeamLimits("red", 0, most), record, held) == plain
-
-
-def test_queued_work_of_higher_rank_keeps_its_share_of_the_limit() -> None:
-    low = Job(spec(cores=2.0), 0)
-    high = Job(spec(id="job-2", rank="production", shape="daemon", crates=1, cores=3.0), 0)
-    other = Job(spec(id="job-3", rank="production", owner="blue", cores=3.0), 0)
-    assert quota.reserved_above(low, [low, high, other]) == 2
-    assert quota.reserved_above(high, [low, high, other]) == 0
+@settings(derandomize=True, max_examples=300)
+@given(st.integers(0, 30), st.lists(st.integers(0, 8), min_size=3, max_size=3),
+       st.lists(st.integers(0, 8), min_size=3, max_size=3),
+       st.lists(st.tuples(st.integers(0, 2), st.integers(1, 6)), max_size=5))
+def test_a_teams_limit_against_dealing_one_by_one(spare: int, used: list[int], unused: list[int],
+                                                  queue: list[tuple[int, int]]) -> None:
+    """The walk decides a whole queue; the reference deals single cores in turn."""
+    nodes = ["n0", "n1", "n2"]
+    shares = {n: quota.Amounts(u + f) for n, u, f in zip(nodes, used, unused, strict=True)}
+    held = {n: quota.Amounts(u) for n, u in zip(nodes, used, strict=True)}
+    most = quota.Amounts(sum(used) + sum(unused) + spare)
+    rows = [(f"job-{i}", nodes[n], quota.Amounts(wish)) for i, (n, wish) in enumerate(queue)]
+    allowed, release = quota.walk(most, shares, held, "n0", rows)
+    pool, free, lent, plain = spare, dict(zip(nodes, unused, strict=True)), 0, {}
+    for job, owner, wish in rows:
+        for _ in range(int(wish.cpus)):
+            if free[owner]:
+                free[owner] -= 1
+            elif pool:
+                pool -= 1
+            elif owner != "n0" and free["n0"]:
+                free["n0"] -= 1
+                lent += 1
+                continue
+            else:
+                continue
+            if owner == "n0":
+                plain[job] = plain.get(job, 0) + 1
+    assert {job: amount.cpus for job, amount in allowed.items() if amount.cpus} == plain
+    assert release.cpus == lent
+    assert sum(plain.values()) <= unused[0] + spare
 
 
 def test_image_at_hand_beats_a_tight_fit() -> None:
@@ -165,7 +175,7 @@
     replica = Replica()
     replica.put(JOBS + "job-1", {"spec": 5}, 3)
     replica.put(TEAMS + "red", [], 3)
-    assert not replica.jobs and not replica.team("red").jobs
+    assert not replica.jobs and not replica.team("red").shares
 
 
 def test_old_news_never_replace_newer() -> None:
@@ -196,10 +206,18 @@
     e.wall = 100.0
     hopeful = Job(spec(id="job-1", crates=9, sail_s=60.0, eta_s=30.0), 80.0)
     quick = Job(spec(id="job-2", crates=1, sail_s=60.0, eta_s=30.0), 80.0)
-    late = Job(spec(id="job-3", crates=1, sail_s=20.0, eta_s=30.0), 0.0)
+    late = Job(spec(id="job-3", crates=1, sail_s=20.0, eta_s=30.0), 50.0)
     service = Job(spec(id="job-4", shape="daemon", rank="production", crates=1), 99.0)
     order = sorted([late, hopeful, service, quick], key=e.steps.urgency)
     assert [job.id for job in order] == ["job-4", "job-2", "job-1", "job-3"]
+    # Ageing: of two that are too late the older; what has not begun within a minute
+    # goes first in its rank, and in the end before all.
+    older = Job(spec(id="job-5", crates=2, sail_s=20.0, eta_s=30.0), 45.0)
+    aged = Job(spec(id="job-6", crates=90, sail_s=20.0, eta_s=30.0), 30.0)
+    order = sorted([late, older, aged, service, quick], key=e.steps.urgency)
+    assert [job.id for job in order] == ["job-4", "job-6", "job-2", "job-5", "job-3"]
+    e.wall = 190.0
+    assert e.steps.urgency(aged) < e.steps.urgency(service)
 
 
 @pytest.mark.parametrize(("cores", "tasks", "spot", "kind"), [
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -22,6 +22,8 @@
             if rng.random() < 0.6:
                 clock.at(time + rng.random() * 5, lambda f=fault: strike(world, f))
     world.late_orders = late_orders
+    if "copies" in faults:
+        world.copies = 0.1
     if "late" in faults:
         world.late = world.late_orders = 0.04
         clock.at(90, lambda: setattr(world, "late", 0.0))
@@ -45,6 +47,14 @@
             clock.cut(some, apart, 2 + rng.random() * 25, rng.random() < 0.7)
         case "peers":
             clock.cut({node}, set(world.names) - {node}, 15 * rng.random(), rng.random() < 0.5)
+        case "refuse":
+            world.refuse_peers(15 * rng.random())
+        case "deaf" if machines:
+            clock.cut(set(world.names), set(rng.sample(machines, min(len(machines), 2))),
+                      2 + rng.random() * 25, rng.random() < 0.5, one_way=True)
+        case "alone":
+            clock.cut({node}, {"state", *(n for n in world.names if n != node)},
+                      5 + 30 * rng.random(), rng.random() < 0.5)
         case "isolate":
             clock.cut({node}, {"state"}, 20 * rng.random(), True)
         case "outage" if rng.random() < 0.4:
@@ -74,9 +84,16 @@
     (1445, ("cut", "crash", "cloud", "late")),
     (5076, ("outage", "crash_all", "isolate", "peers", "crash", "late")),
     (1226, ("die", "hang", "isolate", "outage", "cloud", "peers", "late", "cut")),
+    (21, ("deaf", "copies")),
+    (22, ("copies", "crash_all", "die", "crash")),
+    (23, ("alone", "crash", "late")),
+    (24, ("refuse", "die", "alone")),
+    (25, ("crash", "crash_all", "copies", "late", "deaf")),
+    (26, ("deaf", "copies", "alone", "refuse", "cut", "hang", "outage", "die", "crash")),
 ])
 def test_rules_hold_and_work_gets_done(seed: int, faults: tuple[str, ...]) -> None:
     world = play(seed, *faults, seconds=210.0)
     assert world.judge.broken == []
     assert world.judge.starts > 30
     assert world.unfinished() == []
+    assert world.judge.day_end(peace=90.0) == []
--- /dev/null
+++ b/tests/test_grown.py
@@ -0,0 +1,260 @@
+"""Troubles of the grown deployments, each with the guard that answers it.
+
+Every case is played twice: with the guard, and with the guard taken out, so that
+a test that could not fail would show.
+"""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import events as ev
+from appledock.core.engine import Engine
+from appledock.core.jobs import Attempt, Job
+from appledock.core.pulse import Pulse
+from appledock.core.replica import JOBS, VIEW
+from appledock.core.steps import Steps
+from appledock.core.workers import Worker, Workers
+from tests.standins.world import World
+from tests.test_requests import engine, spec
+
+Patch = pytest.MonkeyPatch
+
+
+def small(world: World, number: int, service: bool = False, run_s: float = 4.0,
+          tasks: int = 2) -> dict[str, object]:
+    return {**world.spec(number), "shape": "daemon" if service else "batch", "crates": tasks,
+            "berth": "svc" if service else "arr", "cores": 1.0, "quay": None, "standby": False,
+            "rank": "production" if service else "standard", "together": False,
+            "scatter": False, "cargo": "img-0", "sail_s": None if service else 60.0,
+            "owner": "red" if service else "blue", "run_s": 1e9 if service else run_s}
+
+
+# --- a machine that only speaks ---------------------------------------------
+def deaf_machine(replicas: bool, seed: int = 3) -> tuple[int, float]:
+    """A machine's reports arrive for 40 s, but nothing reaches it. Returns how many
+    attempts went there once that could be known, and how long a replica lacked."""
+    world = World(seed, capacity=4)
+    world.clock.at(1.0, lambda: world.submit(small(world, 1, True, tasks=1)))
+    for number in range(2, 40):
+        world.clock.at(4.0 + 2 * number,
+                       lambda n=number: world.submit(small(world, n, tasks=6, run_s=7.0)))
+    world.clock.run(30.0)
+    home = next(iter(world.judge.on["job-000001/0"]))
+    victim = home if replicas else next(m for m in sorted(world.cloud.workers) if m != home)
+    world.clock.cut(set(world.names), {victim}, 40.0, False, one_way=True)
+    late, down = 0, 0.0
+    seen: set[tuple[str, int]] = set()
+    for step in range(400):
+        world.clock.run(30.0 + step / 10)
+        for key, row in world.state.rows.items():
+            for place in row[0].get("open", ()) if key.startswith(JOBS) else ():
+                if place[0] == victim and (key, place[2]) not in seen:
+                    seen.add((key, place[2]))
+                    late += step > 120  # later than 12 s, one lease
+        down += 0.1 * ("job-000001/0" not in world.judge.on)
+    assert world.judge.broken == []
+    return late, down
+
+
+def test_a_deaf_machine_gets_no_steps_and_its_replicas_move(monkeypatch: Patch) -> None:
+    late, down = deaf_machine(replicas=True)
+    assert late == 0 and down < 8.0
+    assert deaf_machine(replicas=False)[0] == 0
+    monkeypatch.setattr(c, "ANSWER_LOST_S", 1e9)  # every report counts as a sign of health
+    assert deaf_machine(replicas=False)[0] > 0
+
+
+# --- copies of old reports ----------------------------------------------------
+def copies_of_a_dead_machine(seed: int = 4) -> set[str]:
+    """A machine dies, all controllers lose their memory, and then copies of its
+    reports come in a row. Returns the machines that steps went to afterwards."""
+    world = World(seed, capacity=4)
+    for number in range(1, 12):
+        world.clock.at(1.0, lambda n=number: world.submit(small(world, n)))
+    world.clock.run(16.0)
+    victim = sorted(world.cloud.workers)[0]
+    worker = world.cloud.workers[victim]
+    copies = []
+    for _ in range(12):
+        copies.append(json.dumps({**worker.report(), "crates": []}).encode())
+    world.cloud.kill(victim)
+    world.cloud.machines.pop(victim)  # taken: it is not listed either
+    world.clock.run(60.0)
+    for node in world.nodes.values():
+        node.crash(0.3)
+    for number, copy in enumerate(copies):
+        for name in world.names:
+            world.late_copy(name, copy, 1.5 + number * 1.4)
+    for number in range(20, 40):
+        world.clock.at(62.0 + number / 4, lambda n=number: world.submit(small(world, n)))
+    used: set[str] = set()
+    for step in range(300):
+        world.clock.run(60.0 + step / 10)
+        used |= {place[0] for key, row in world.state.rows.items() if key.startswith(JOBS)
+                 for place in row[0].get("open", ())}
+    assert world.judge.broken == []
+    return used & {victim}
+
+
+def test_copies_of_old_reports_revive_no_dead_machine(monkeypatch: Patch) -> None:
+    assert copies_of_a_dead_machine() == set()
+    monkeypatch.setattr(Worker, "proven", property(lambda self: self.report is not None))
+    assert copies_of_a_dead_machine() != set()
+
+
+def owner_of_nothing() -> Engine:
+    """An engine that acts under a view in which `n1` owns the machine `vm-x`."""
+    e = engine()
+    e.replica.put(VIEW, {"term": 5, "members": {"n0": "x.1", "n1": "y", "n2": "z"},
+                         "leader": "n0"}, 1)
+    e.replica.view_changed = False
+    e.membership.joined, e.membership.incarnation = True, "x.1"
+    e.membership.touch_sent = e.membership.view_sent = e.membership.served_at = e.now
+    e.replica.advance(1)
+    return e
+
+
+def report(name: str, seq: int, token: int = 5, session: int = 1) -> wire.Report:
+    return wire.Report(name, "10.0.0.9:9", "h4", "a", session, seq, token)
+
+
+def test_copies_at_a_stranger_move_no_worker(monkeypatch: Patch) -> None:
+    """Each counted as a try of a worker that cannot reach its owner, and a new view
+    took the live worker away from the owner that it reported to all the time."""
+    def wanted() -> dict[str, str]:
+        e = owner_of_nothing()
+        name = next(f"vm-{i}" for i in range(99) if e.replica.owner_of(f"vm-{i}") == "n1")
+        e.workers.learn(report(name, 50))
+        for step in range(12):
+            e.membership.touch_sent = e.membership.view_sent = e.now
+            e.handle([ev.Reported(step, report(name, 20 + step))], e.now + 0.9, 0.0)
+        return e.membership.want_override
+
+    assert wanted() == {}
+    monkeypatch.setattr(Workers, "learn", lambda self, report: True)
+    assert wanted() != {}
+
+
+# --- a controller without state service and peers ---------------------------------
+def alone(seed: int = 5) -> tuple[list[bool], World]:
+    """One controller keeps its workers only, for 30 s. Was it healthy all the time?"""
+    world = World(seed, capacity=6)
+    for number in range(1, 30):
+        service = number % 3 == 0
+        world.clock.at(1.0 + number, lambda n=number, s=service: world.submit(
+            small(world, n, s), 40.0 if s else None))
+    world.clock.run(20.0)
+    world.clock.cut({"n1"}, {"state", "n0", "n2"}, 30.0, True)
+    healthy = []
+    for step in range(25):
+        world.clock.run(24.0 + step)
+        healthy.append(world.nodes["n1"].engine.healthy())
+    world.clock.run(120.0)
+    assert world.judge.broken == []
+    assert world.judge.day_end(peace=50.0) == []
+    assert world.unfinished() == []
+    assert world.nodes["n1"].engine.healthy()
+    return healthy, world
+
+
+def test_whoever_is_shut_out_alone_steps_aside_and_comes_back(monkeypatch: Patch) -> None:
+    assert not any(alone()[0])
+    monkeypatch.setattr(Pulse, "shut_out", lambda self: False)
+    assert any(alone()[0])
+
+
+def test_in_an_outage_for_all_nobody_steps_aside() -> None:
+    world = World(6)
+    world.clock.run(12.0)
+    world.state.outage(12.0)
+    for step in range(12):
+        world.clock.run(12.0 + step)
+        assert all(node.engine.healthy() for node in world.nodes.values())
+
+
+def test_jobs_of_a_controller_that_is_shut_out_do_not_wait_for_its_lease(
+        monkeypatch: Patch) -> None:
+    def begin_s() -> float:
+        world = World(7, capacity=6)
+        world.clock.at(1.0, lambda: world.submit(small(world, 1)))
+        world.clock.run(18.0)
+        world.clock.cut({"n1"}, {"state", "n0", "n2"}, 40.0, True)
+        view = world.nodes["n0"].engine.replica.view
+        assert view is not None
+        number = next(i for i in range(2, 99) if view.owner_of(f"job-{i:06d}") == "n1")
+        # A second job keeps a machine up, so that no boot hides the difference.
+        world.clock.at(19.0, lambda: world.submit(small(world, 99, True)))
+        world.clock.at(23.0, lambda: world.submit(small(world, number, tasks=1)))
+        world.clock.run(60.0)
+        assert world.judge.broken == []
+        job = f"job-{number:06d}"
+        return world.judge.begun[job] - world.judge.accepted[job]
+
+    assert begin_s() < 5.0
+    monkeypatch.setattr(Pulse, "works", lambda self, node: True)
+    assert begin_s() > 6.0
+
+
+def test_machines_of_controllers_out_of_reach_are_not_returned() -> None:
+    """The owner may be placing a step there that the leader has not seen, and would
+    not hear that the machine is gone."""
+    e = owner_of_nothing()
+    e.fleet.led_since = e.now - 60
+    e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
+    names = [f"vm-{i}" for i in range(6)]
+    for name in names:
+        e.workers.learn(report(name, 1))
+        e.workers.table[name].idle_since = e.now - 50
+    e.pulse.on_peer({"node": "n1", "served_s": 0.1})  # n2 is not heard
+    e.fleet._return()
+    assert set(e.fleet.returning) == {n for n in names if e.replica.owner_of(n) != "n2"}
+
+
+# --- records and views at size ---------------------------------------------------
+def test_a_step_that_does_not_fit_its_record_is_made_smaller() -> None:
+    """A record over the limit of the state service blocked its job for ever."""
+    e = owner_of_nothing()
+    e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
+    e.value_bytes = 1500
+    e.membership.incarnation = "x.1"
+    e.replica.put("ad/live/members/n0", {"incarnation": "x.1", "lease": 1}, 1)
+    for number in range(300):
+        name = f"vm-{number:06d}"
+        if e.replica.owner_of(name) == "n0":
+            e.workers.learn(report(name, 1))
+    job_id = next(f"job-{i:06d}" for i in range(99)
+                  if e.replica.owner_of(f"job-{i:06d}") == "n0")
+    e.replica.set_job(Job(spec(id=job_id, crates=60, cores=0.2, owner="red", memory_gb=9.0),
+                          0.0, 2))
+    effects = e.handle([], e.now + 0.2, 0.0)
+    plans = [x.args[0] for x in effects if isinstance(x, ev.StoreCall) and x.op == "txn"]
+    puts = [put.value for plan in plans for put in plan.writes if put.key == JOBS + job_id]
+    assert len(puts) == 1
+    assert 5 < len(puts[0]["open"]) < 60
+    assert len(wire.encode(puts[0])) <= e.value_bytes
+
+
+def test_one_silent_machine_gives_no_new_term() -> None:
+    """A launch never seen asks for a new term only where a report could show it."""
+    def wants(silent: bool) -> bool:
+        e = owner_of_nothing()
+        job_id = next(f"job-{i:06d}" for i in range(99)
+                      if e.replica.owner_of(f"job-{i:06d}") == "n0")
+        job = Job(spec(id=job_id), 0.0, 2, cancelled=True)
+        job.attempts.append(Attempt("vm-1", 1, 1, 5, False, {0}))
+        e.replica.set_job(job)
+        e.workers.learn(report("vm-1", 1))
+        for step in range(12):
+            e.now += 1.0
+            if not silent:
+                e.workers.learn(report("vm-1", 2 + step))
+            Steps._watch_lost(e.steps)
+        return e.membership.want_term
+
+    assert wants(silent=False)
+    assert not wants(silent=True)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -94,7 +94,7 @@
 
 
 def test_steps_that_do_not_charge_the_team(monkeypatch: Patch) -> None:
-    monkeypatch.setattr(quota, "charge", lambda job: None)
+    monkeypatch.setattr(quota, "charge", lambda job: quota.NOTHING)
     assert "quota" in kinds(range(10))
 
 
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,310 @@
+"""The teams' limits shared between controllers: a model of the protocol.
+
+Three controllers' quotas work on one plain store. Writes are under way for any
+time, lose their answers, are applied late; views change; watches lag. After each
+write the charges recorded in the store must keep the limit.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from appledock.core import quota
+from appledock.core.engine import Engine
+from appledock.core.events import TxnPlan
+from appledock.core.jobs import Attempt, Job, decode
+from appledock.core.quota import Amounts, Quota
+from appledock.core.replica import JOBS, TEAMS, VIEW, Team
+from tests.standins.world import settings
+from tests.test_grown import owner_of_nothing
+from tests.test_requests import spec
+
+Patch = pytest.MonkeyPatch
+NODES = ["n0", "n1", "n2"]
+LIMIT = 24.0
+
+
+class Model:
+    """The store and three controllers, of which only the quota is real."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.rows: dict[str, tuple[Any, int]] = {}
+        self.log: list[tuple[int, str, Any]] = []
+        self.revision = 0
+        self.peak = 0.0
+        self.engines = {name: Engine(settings(name, NODES), name, self.rng) for name in NODES}
+        self.cursors = dict.fromkeys(NODES, 0)
+        self.flights: list[tuple[str, TxnPlan, dict[str, Any], Callable[[str], None]]] = []
+        self.late: list[tuple[TxnPlan, dict[str, Any]]] = []
+        self.busy: set[tuple[str, str]] = set()
+        self.write({VIEW: self._view(NODES, 1)})
+        for number in range(12):
+            job = Job(spec(id=f"job-{number:06d}", crates=40, cores=float(1 + number % 2)), 0.0)
+            self.write({JOBS + job.id: job.encode()})
+
+    def _view(self, members: list[str], term: int) -> dict[str, Any]:
+        return {"term": term, "members": dict.fromkeys(members, "i"), "leader": members[0]}
+
+    def write(self, values: dict[str, Any]) -> None:
+        self.revision += 1
+        for key, value in values.items():
+            self.rows[key] = (value, self.revision)
+            self.log.append((self.revision, key, value))
+
+    def used(self) -> float:
+        jobs = [decode(value, 1) for key, (value, _) in self.rows.items()
+                if key.startswith(JOBS)]
+        return sum(job.open_tasks * job.spec.cpus for job in jobs)
+
+    # --- what may happen ------------------------------------------------------
+    def watch(self, name: str, most: int) -> None:
+        """The watch delivers some revisions, whole and in order."""
+        e = self.engines[name]
+        upto = min(self.revision, self.cursors[name] + most)
+        for revision, key, value in self.log:
+            if self.cursors[name] < revision <= upto:
+                e.replica.put(key, value, revision)
+        self.cursors[name] = upto
+        e.replica.advance(upto)
+        if e.replica.view_changed:
+            e.replica.view_changed = False
+            e.quota.on_view()
+        e.quota.forget_caches()
+
+    def read(self, name: str, key: str) -> None:
+        """One key is read by itself, ahead of the watch."""
+        if key in self.rows:
+            self.engines[name].replica.put(key, *self.rows[key])
+            self.engines[name].quota.forget_caches()
+
+    def step(self, name: str) -> None:
+        """Settle and place tasks of a job of ours, perhaps handing it on."""
+        e, rng = self.engines[name], self.rng
+        view = e.replica.view
+        if view is None or name not in view.members or not e.replica.synced:
+            return
+        mine = [job for job in e.replica.jobs.values() if e.owns_job(job)
+                and (name, job.id) not in self.busy]
+        if not mine:
+            return
+        job = rng.choice(sorted(mine, key=lambda job: job.id))
+        new = job.copy()
+        for attempt in new.attempts:
+            attempt.tasks = {t for t in attempt.tasks if rng.random() < 0.9}
+        new.attempts = [a for a in new.attempts if a.tasks]
+        count = min(e.quota.allowed(job, new), rng.randint(0, 12))
+        if count > 0:
+            new.steps += 1
+            new.attempts.append(Attempt("vm-1", 1, new.steps, view.term, False,
+                                        set(new.queued_tasks(count))))
+        if rng.random() < 0.25:
+            new.handoff = (rng.choice(sorted(view.members)), "i")
+        good, record = e.quota.plan(job, new, e.replica.job_owner(new))
+        if good:
+            self._send(name, job, new, record)
+
+    def release(self, name: str) -> None:
+        e = self.engines[name]
+        view = e.replica.view
+        if view is not None and name in view.members and e.replica.synced:
+            surplus = e.quota.surplus("red")
+            if surplus.some() and "red" not in e.quota.writing:
+                self._send(name, None, None, e.quota.lower("red", surplus))
+
+    def _send(self, name: str, job: Job | None, new: Job | None, record: Team | None) -> None:
+        e = self.engines[name]
+        assert e.replica.view is not None
+        plan = TxnPlan({VIEW: e.replica.view.version})
+        values: dict[str, Any] = {}
+        if job is not None and new is not None:
+            plan.conditions[JOBS + job.id] = job.version
+            values[JOBS + job.id] = new.encode()
+            self.busy.add((name, job.id))
+        if record is not None:
+            plan.conditions[TEAMS + "red"] = record.version
+            values[TEAMS + "red"] = record.encode()
+        ended = e.quota.begin(job, new, "red", record)
+
+        def done(outcome: str) -> None:
+            if job is not None:
+                self.busy.discard((name, job.id))
+            ended(outcome)
+            if outcome == "ok":
+                for key, value in values.items():
+                    e.replica.put(key, value, self.revision)
+                if record is not None:
+                    e.quota.sure["red"] = self.revision
+                e.quota.forget_caches()
+            else:
+                for key in values:
+                    self.read(name, key)
+
+        self.flights.append((name, plan, values, done))
+
+    def apply(self, plan: TxnPlan, values: dict[str, Any]) -> str:
+        if any(self.rows.get(key, (None, 0))[1] != version
+               for key, version in plan.conditions.items()):
+            return "conflict"
+        self.write(values)
+        return "ok"
+
+    def land(self) -> None:
+        """A write arrives: answered, or its answer is lost, or it comes late."""
+        if not self.flights:
+            return
+        _, plan, values, done = self.flights.pop(self.rng.randrange(len(self.flights)))
+        fate = self.rng.random()
+        if fate < 0.7:
+            done(self.apply(plan, values))
+        elif fate < 0.8:
+            self.apply(plan, values)
+            done("unknown")
+        else:
+            self.late.append((plan, values))
+            done("unknown")
+
+    def play(self, steps: int = 400) -> bool:
+        """False as soon as the limit is broken."""
+        rng = self.rng
+        for _ in range(steps):
+            name = rng.choice(NODES)
+            draw = rng.random()
+            if draw < 0.35:
+                self.watch(name, rng.randint(1, 6))
+            elif draw < 0.65:
+                self.step(name)
+            elif draw < 0.7:
+                self.release(name)
+            elif draw < 0.93:
+                self.land()
+            elif draw < 0.96 and self.late:
+                self.apply(*self.late.pop(rng.randrange(len(self.late))))
+            elif draw < 0.98:
+                self.read(name, TEAMS + "red")
+            elif draw < 0.99:
+                members = rng.sample(NODES, rng.randint(1, 3))
+                self.write({VIEW: self._view(sorted(members), self.rows[VIEW][0]["term"] + 1)})
+            used = self.used()
+            self.peak = max(self.peak, used)
+            if used > LIMIT + 1e-6:
+                return False
+        return True
+
+
+def test_the_limit_holds_whatever_is_lost_or_late() -> None:
+    models = [Model(seed) for seed in range(40)]
+    assert all(model.play() for model in models)
+    # The model does something: steps are made, under several views, near the limit.
+    assert sum(len(model.log) for model in models) > 2000
+    assert sum(model.rows[VIEW][0]["term"] for model in models) > 100
+    assert max(model.peak for model in models) == LIMIT
+
+
+def _earlier_view(patch: Patch) -> None:
+    def shares(self: Quota, name: str) -> quota.Shares:
+        self.e.replica.team(name).term = self.e.membership.term
+        return {n: Amounts(*s) for n, s in self.e.replica.team(name).shares.items()}
+
+    patch.setattr(Quota, "shares", shares)
+
+
+def _inside_the_limit_is_enough(patch: Patch) -> None:
+    patch.setattr(Quota, "plan", lambda self, job, new, heir: (True, None))
+    patch.setattr(Quota, "allowed", lambda self, job, new: (
+        Amounts(LIMIT) - self.held_in_all("red")).count(job.spec))
+
+
+def _handed_over_without_charge(patch: Patch) -> None:
+    plan = Quota.plan
+    patch.setattr(Quota, "plan", lambda self, job, new, heir: plan(
+        self, job, new, self.e.settings.name))
+
+
+@pytest.mark.parametrize("remove", [
+    _earlier_view, _inside_the_limit_is_enough, _handed_over_without_charge])
+def test_the_limit_breaks_without_each_guard(monkeypatch: Patch,
+                                             remove: Callable[[Patch], None]) -> None:
+    remove(monkeypatch)
+    assert not all(Model(seed).play(800) for seed in range(200))
+
+
+# --- single cases -----------------------------------------------------------------
+def sharing() -> tuple[Engine, Job, Job]:
+    """Two jobs of ours under a share of 4 cores, of a limit of 24."""
+    e = owner_of_nothing()
+    mine = [f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0"]
+    jobs = []
+    for number, job_id in enumerate(mine[:2]):
+        job = Job(spec(id=job_id, crates=9, cores=2.0), 0.0, 2 + number)
+        e.replica.set_job(job)
+        jobs.append(job)
+    e.replica.put(TEAMS + "red", {"term": 5, "shares": {"n0": [4, 0], "n1": [20, 0]}}, 4)
+    e.replica.advance(9)
+    e.quota.forget_caches()
+    return e, jobs[0], jobs[1]
+
+
+def grown(job: Job, tasks: int) -> Job:
+    new = job.copy()
+    new.attempts.append(Attempt("vm-1", 1, 1, 5, False, set(range(tasks))))
+    return new
+
+
+def test_a_write_without_an_answer_keeps_its_part_of_the_share() -> None:
+    """It may be applied late; the room it took must not be given to another job."""
+    e, first, second = sharing()
+    assert e.quota.plan(first, grown(first, 2), "n0") == (True, None)
+    e.quota.begin(first, grown(first, 2), "red", None)("unknown")
+    assert e.quota.allowed(second, second.copy()) == 0
+    assert e.quota.plan(second, grown(second, 1), "n0") == (False, None)
+    # Once its record has moved on, the write is void.
+    again = first.copy()
+    again.version = 7
+    e.replica.set_job(again)
+    e.quota.forget_caches()
+    assert e.quota.plan(second, grown(second, 2), "n0") == (True, None)
+
+
+def test_a_lowered_share_counts_before_its_write_is_answered() -> None:
+    e, first, _ = sharing()
+    e.quota.begin(None, None, "red", Team(4, 5, {"n0": (1.0, 0.0), "n1": (20.0, 0.0)}))("unknown")
+    good, record = e.quota.plan(first, grown(first, 1), "n0")
+    assert good and record is not None  # it must be raised again, by a write of its own
+
+
+def test_a_share_read_ahead_of_the_watch_allows_nothing() -> None:
+    """It may have grown with a job handed to us that the watch has yet to show."""
+    e, first, _ = sharing()
+    e.replica.put(TEAMS + "red", {"term": 5, "shares": {"n0": [24, 0]}}, 12)
+    e.quota.forget_caches()
+    assert e.quota.allowed(first, first.copy()) == 0
+    assert e.quota.plan(first, grown(first, 4), "n0") == (False, None)
+    e.replica.advance(12)
+    e.quota.forget_caches()
+    assert e.quota.plan(first, grown(first, 4), "n0") == (True, None)
+
+
+def test_a_new_view_shares_out_what_is_held_and_no_more() -> None:
+    e, first, second = sharing()
+    e.replica.set_job(held := grown(first, 3))
+    held.version = 8
+    e.replica.set_job(held)
+    e.replica.put(VIEW, {"term": 6, "members": {"n0": "x.1", "n2": "z"}, "leader": "n0"}, 9)
+    e.quota.on_view()
+    good, record = e.quota.plan(second, grown(second, 2), "n0")
+    assert good and record is not None and record.term == 6 and record.version == 4
+    assert record.shares.keys() <= {"n0", "n2"}
+    assert 10.0 <= record.shares["n0"][0] <= 24.0
+
+
+def test_a_job_handed_over_takes_its_charge_along() -> None:
+    e, first, _ = sharing()
+    new = grown(first, 2)
+    good, record = e.quota.plan(first, new, "n1")
+    assert good and record is not None
+    assert record.shares == {"n1": (24.0, 0.0)}  # of 4 and 20
