Rent only for what running work will not make room for in time; steps gather room

Change: queued arrays first take the room that running tasks should give back while a machine would boot and fetch; machines are kept until their least charge is used; arrays are placed every 0.3 s, handed on only for a quarter of their queue and at most every 2 s; submissions draw on the budget ahead of the rest.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -52,9 +52,10 @@
 WRITES_BACK = 0.6
 """ratio; what a refusal leaves of the rate, down to the equal share."""
 CROWDED = 2
-"""calls; with more steps waiting, arrays gather completions before the next step."""
-GATHER_S = 1.0
-"""s; how long they gather."""
+"""calls; with more steps waiting, arrays gather room and results for longer."""
+GATHER_S = 0.3
+GATHER_CROWDED_S = 0.8
+"""s; pause between two passes that place arrays. Tasks run for tens of seconds."""
 TXN_BYTES = 60_000
 """bytes; the protocol allows 64 KiB; the rest is for headers and escapes."""
 VALUE_SLACK = 0.85
@@ -93,8 +94,13 @@
 # --- Steps ----------------------------------------------------------------
 STEP_TASKS = 100
 """tasks; size of a step, the design's starting value."""
-PROGRESS_EVERY_S = 1.5
-"""s; finished tasks are recorded this often if nothing more urgent is due."""
+PROGRESS_EVERY_S = 2.5
+PROGRESS_CROWDED_S = 5.0
+"""s; finished tasks are recorded this often if no step of the job is due anyway."""
+HANDOFF_SHARE = 0.25
+"""ratio; of an array's queued tasks that another controller must have room for."""
+HANDOFF_EVERY_S = 2.0
+"""s; an array handed to us stays here at least this long."""
 LAUNCH_AGAIN_S = 1.0
 """s; a launch not seen in a report by then is sent again."""
 HALT_AGAIN_S = 1.5
@@ -169,6 +175,9 @@
 """s; an idle machine beyond the headroom is kept this long."""
 MIN_CHARGE_S = 60.0
 """s; every machine costs at least this, so returning it sooner saves nothing."""
+SOON_SHARE = 0.8
+"""ratio; of boot and fetch within which running tasks must be over, by their
+estimates, for their room to stand in for a new machine. Estimates are often wrong."""
 BOOT_LATE = 3.0
 """ratio of boot time after which a machine is replaced and deleted."""
 BOOT_LATE_MIN_S = 20.0
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -102,10 +102,14 @@
             while queue:
                 call = queue.popleft()
                 urgent = priority <= Priority.VIEW
+                # Users wait for nobody: what they take is made up for by the rest,
+                # down to one second's worth.
+                floor = -self.writes.rate if priority == Priority.USER else (
+                    min(call.writes, self.writes.rate))
                 if call.expires <= now:
                     expired.append(call)
                 elif (self.requests.level >= 1 or urgent) and (not call.writes or urgent or (
-                        not blocked and self.writes.level >= min(call.writes, self.writes.rate))):
+                        not blocked and self.writes.level >= floor)):
                     self.requests.level -= 1
                     self.writes.level -= call.writes
                     send.append(call)
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -133,6 +134,8 @@
     listed: dict[str, wire.Machine] = field(default_factory=dict)
     listed_at: float = -1e9
     rentals: dict[str, Rental] = field(default_factory=dict)
+    rented_at: dict[str, float] = field(default_factory=dict)
+    """machines rented lately -> when; also after they were heard of"""
     renting: list[Renting] = field(default_factory=list)
     returning: dict[str, Returning] = field(default_factory=dict)
     refused: dict[Kind, float] = field(default_factory=dict)
@@ -293,6 +296,8 @@
 
     def announce_gone(self, machines: list[str]) -> None:
         self.e.workers.set_gone(machines)
+        for name in machines:
+            self.rented_at.pop(name, None)
         self.e.emit(PeerSend({"kind": "gone", "machines": machines}))
         self.e.queue_dirty = True
 
@@ -337,9 +342,11 @@
         """
         e = self.e
         e.rooms.refresh()
-        supply = Supply()
+        supply, soon = Supply(), Supply()
         for room in e.rooms.open.values():
             supply.add(room, 1)
+        for room in self._soon_free():
+            soon.add(room, 1)
         booting = self.booting()
         for name, (kind, age) in booting.items():
             type_ = e.types.get(kind[0])
@@ -352,6 +359,10 @@
         wanted: dict[Kind, int] = {}
         for job, tasks in self._demand():
             left = supply.take(job.spec, tasks)
+            if left and not job.spec.service:
+                # No machine is rented for tasks that running work makes room for
+                # before it could be up.
+                left = soon.take(job.spec, left)
             while left > 0:
                 cheapest = self._cheapest(job.spec, left)
                 if cheapest is None:
@@ -372,6 +383,33 @@
                 room_left -= number
                 self._new_rent(kind, number)
 
+    def _soon_free(self) -> Iterator[Room]:
+        """What arrays at work give back while a machine would boot and fetch."""
+        e = self.e
+        for name, room in e.rooms.table.items():
+            worker = e.workers.table[name]
+            cpus = gpus = memory = 0.0
+            for job_id, attempts in e.replica.by_machine.get(name, {}).items():
+                spec = e.replica.jobs[job_id].spec
+                if spec.service or spec.estimate_s <= 0:
+                    continue
+                horizon = room.type.boot_s + (spec.image_gb / room.type.fetch_gb_per_s
+                                              if room.type.fetch_gb_per_s > 0 else 0.0)
+                for attempt in attempts:
+                    for task in attempt.tasks:
+                        since = worker.since.get((f"{job_id}/{task}", attempt.number))
+                        if since is None:
+                            continue
+                        ran = e.now - since
+                        left = spec.estimate_s - ran
+                        if left < 0:  # longer than estimated: it may be as long again
+                            left = ran - spec.estimate_s
+                        if left < horizon * c.SOON_SHARE:
+                            cpus, gpus = cpus + spec.cpus, gpus + spec.gpus
+                            memory += spec.memory_gb
+            if cpus > 0 or gpus > 0:
+                yield Room("", room.type, room.zone, room.spot, 0, cpus, gpus, memory)
+
     def _demand(self) -> list[tuple[Job, int]]:
         """Queued tasks that their teams' limits admit, most urgent first."""
         e = self.e
@@ -451,6 +489,7 @@
     def _rented(self, machines: list[str], kind: Kind) -> None:
         for name in machines:
             self.rentals[name] = Rental(kind, self.e.now)
+            self.rented_at[name] = self.e.now
 
     # --- returning --------------------------------------------------------
     def empty(self, name: str) -> bool:
@@ -545,6 +584,7 @@
                     and e.pulse.reached(e.replica.owner_of(name))):
                 self._cordon(name, worker.cordoned)
             elif (worker.idle_since and now - worker.idle_since > e.admin["idle_return_s"]
+                    and self._paid_for(name)
                     and worker.cordoned != "operator"
                     and now - worker.heard_at < 5.0 and self.empty(name)
                     and e.pulse.reached(e.replica.owner_of(name))
@@ -565,6 +605,11 @@
         if ready:
             self._delete(ready[:c.DELETE_MAX])
 
+    def _paid_for(self, name: str) -> bool:
+        """Has the least charge been used up? Before, returning saves nothing."""
+        rented = self.rented_at.get(name)
+        return rented is None or self.e.now - rented > c.MIN_CHARGE_S - c.CORDON_S
+
     def _cordon(self, name: str, why: str) -> None:
         self.returning[name] = Returning(self.e.now, why)
         self._set_cordon(name, why)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING, Any
 
 from appledock import constants as c
@@ -40,6 +41,9 @@
         """job -> why its queued tasks wait, for the administration API"""
         self.preemption = Preemption(engine)
         self.next_queue = 0.0
+        self.next_arrays = 0.0
+        self.mine_since: dict[str, float] = {}
+        """job handed to us -> when we learned of it"""
         self.next_sweep = 0.0
 
     def worker_changed(self, worker: str) -> None:
@@ -69,15 +73,24 @@
             if job is None:
                 self._clear(job_id)
             elif self.e.owns_job(job):
+                if job.handoff and job.id not in self.mine_since:
+                    self.mine_since[job.id] = self.e.now
                 self._settle(job)
+            else:
+                self.mine_since.pop(job_id, None)
         if self.e.now >= self.next_queue and self.e.queue_dirty:
             self.next_queue = self.e.now + c.QUEUE_EVERY_S
             self.e.queue_dirty = False
             self._place_all()
 
+    def _crowded(self) -> bool:
+        """Do steps wait for the state service's limit?"""
+        return self.e.budget.waiting(Priority.STEP) > c.CROWDED
+
     def _clear(self, job_id: str) -> None:
         tables: tuple[dict[str, Any], ...] = (
-            self.retry_at, self.written_at, self.lost_since, self.blocked, self.stops)
+            self.retry_at, self.written_at, self.lost_since, self.blocked, self.stops,
+            self.mine_since)
         for table in tables:
             table.pop(job_id, None)
 
@@ -175,7 +188,8 @@
         self.e.queue_dirty = True
         if over:
             self._commit(job, new or job.copy(), Priority.FINAL)
-        elif self.e.now >= self.written_at.get(job.id, -1e9) + c.PROGRESS_EVERY_S:
+        elif self.e.now >= self.written_at.get(job.id, -1e9) + (
+                c.PROGRESS_CROWDED_S if self._crowded() else c.PROGRESS_EVERY_S):
             assert new is not None
             self._commit(job, new, Priority.PROGRESS)
         else:
@@ -221,10 +235,14 @@
         own = [room for room in rooms if room.owner == self.e.settings.name]
         self.preemption.refresh()
         full = _Full()
-        crowded = self.e.budget.waiting(Priority.STEP) > c.CROWDED
+        # Room that running tasks free comes by and by: gathered for a moment, it is
+        # taken by one job in one step, not by each in one of its own.
+        arrays = self.e.now >= self.next_arrays
+        if arrays:
+            self.next_arrays = self.e.now + (c.GATHER_CROWDED_S if self._crowded()
+                                             else c.GATHER_S)
         for job in sorted(waiting, key=lambda job: (self.urgency(job), job.id)):
-            if not self._ready(job) or (crowded and not job.spec.service and self.e.now
-                                        < self.written_at.get(job.id, -1e9) + c.GATHER_S):
+            if not self._ready(job) or not (arrays or job.spec.service):
                 self.e.queue_dirty = True
                 continue
             if full.covers(job.spec):
@@ -370,7 +388,12 @@
             return None
         if not best:
             return None
-        return max(sorted(best), key=best.__getitem__)
+        most = max(sorted(best), key=best.__getitem__)
+        # Passing a job round for a task here and a task there costs more writes than
+        # it saves waiting, since room is freed here as well.
+        worth = best[most] >= min(left, max(1, math.ceil(left * c.HANDOFF_SHARE)))
+        settled = self.e.now - self.mine_since.get(job.id, -1e9) > c.HANDOFF_EVERY_S
+        return most if job.spec.service or (worth and settled) else None
 
     # --- writing ----------------------------------------------------------
     def _commit(self, job: Job, new: Job, priority: Priority,
