--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -47,6 +47,8 @@
 """ratio; part of the state service's limits that the controllers plan to use."""
 WRITES_CEILING = 0.8
 """ratio; most of the state service's writes that one controller tries for."""
+SPENT_S = 2.0
+"""s; over which a controller averages what it writes, to tell the others."""
 WRITES_MORE = 2.0
 """writes/s per s; how fast it tries for more while writes wait."""
 WRITES_BACK = 0.6
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -64,6 +65,8 @@
     """writes/s that are ours whatever the others do"""
     ceiling: float = 0.0
     """writes/s never planned beyond"""
+    spent: float = 0.0
+    """writes/s sent lately"""
     queues: list[deque[Waiting]] = field(default_factory=lambda: [deque() for _ in Priority])
 
     def size(self) -> int:
@@ -81,6 +84,11 @@
         self.writes.rate = max(self.share, self.writes.rate * c.WRITES_BACK)
         self.writes.level = min(self.writes.level, 0.0)
 
+    def others_spend(self, rate: float, planned: float) -> None:
+        """The others say how much they write: together, no more than planned."""
+        self.ceiling = max(self.share, planned - rate)
+        self.writes.rate = min(self.writes.rate, self.ceiling)
+
     def waiting(self, priority: Priority) -> int:
         """Calls of this priority or a more urgent one that wait."""
         return sum(len(queue) for queue in self.queues[:priority + 1])
@@ -92,6 +100,7 @@
         reads: otherwise a large transaction would never get its turn.
         """
         elapsed = now - self.writes.at
+        self.spent *= math.exp(-max(0.0, elapsed) / c.SPENT_S)
         self.requests.refill(now)
         self.writes.refill(now)
         send: list[Waiting] = []
@@ -112,6 +121,7 @@
                         not blocked and self.writes.level >= floor)):
                     self.requests.level -= 1
                     self.writes.level -= call.writes
+                    self.spent += call.writes / c.SPENT_S
                     send.append(call)
                 else:
                     blocked = blocked or bool(call.writes)
--- a/appledock/core/pulse.py
+++ b/appledock/core/pulse.py
@@ -23,6 +23,8 @@
         self.e = engine
         self.heard: dict[str, tuple[float, float]] = {}
         """peer -> when it was last heard, and when it last reached the state service"""
+        self.writes: dict[str, float] = {}
+        """peer -> writes/s that it says it sends to the state service"""
         self.next_at = 0.0
         self.fine_at = 0.0
         """when we were last served, or knew that nobody is"""
@@ -34,11 +36,17 @@
             self.next_at = self.e.now + c.PULSE_EVERY_S
             since = self.e.now - self.e.membership.served_at
             self.e.emit(PeerSend({"kind": "pulse", "node": self.e.settings.name,
-                                  "served_s": round(min(since, 1e6), 3)}))
+                                  "served_s": round(min(since, 1e6), 3),
+                                  "writes": round(self.e.budget.spent, 2)}))
+            if self.heard:
+                self.e.budget.others_spend(
+                    sum(rate for peer, rate in self.writes.items() if self.reached(peer)),
+                    self.e.settings.cluster.state.write_rps * c.BUDGET_SHARE)
 
     def on_peer(self, message: dict[str, Any]) -> None:
         self.heard[str(message["node"])] = (
             self.e.now, self.e.now - float(message["served_s"]))
+        self.writes[str(message["node"])] = float(message.get("writes", 0.0))
 
     def reached(self, node: str) -> bool:
         """Do messages of this controller arrive here?"""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -154,6 +154,23 @@
     assert b.writes.rate == 4.0
 
 
+def test_budget_leaves_the_others_what_they_use_and_users_wait_for_nobody() -> None:
+    b = budget()
+    for _ in range(300):
+        b.add(call(Priority.STEP, 2))
+    for step in range(1, 100):
+        b.due(step / 10)
+    assert b.spent == pytest.approx(16.0, rel=0.2)
+    b.others_spend(9.0, 20.0)
+    assert b.writes.rate == b.ceiling == 11.0
+    b.others_spend(19.0, 20.0)
+    assert b.writes.rate == b.share
+    b.due(10.0)
+    user = call(Priority.USER, 1)
+    b.add(user)
+    assert b.due(10.0)[0] == [user]
+
+
 def test_full_queue_refuses_all_but_lease_and_view() -> None:
     b = budget()
     assert all(b.add(call(Priority.STEP, 1)) for _ in range(c.CALL_QUEUE_MAX))
