--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -168,6 +168,8 @@
 """s; a call to the cloud without an answer has an unknown outcome."""
 FLEET_EVERY_S = 0.5
 """s; pause between two fleet decisions."""
+TELL_EVERY_S = 20.0
+"""s; how often the leader logs what its machines do."""
 RENT_MAX = 50
 DELETE_MAX = 100
 """machines; the protocol's limits for one request."""
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -148,6 +148,7 @@
     next_types: float = 0.0
     next_plan: float = 0.0
     next_drain: float = 0.0
+    next_tell: float = 0.0
     listing: bool = False
     reading_types: bool = False
     read_version: int = -1
@@ -568,11 +569,31 @@
             rows[room.machine] = (cpus, frozenset(room.images))
         return Warm(rows, images)
 
+    def _tell(self, headroom: float, warm: Warm) -> None:
+        """What the machines do, for whoever reads the log for the costs."""
+        e, now = self.e, self.e.now
+        if now < self.next_tell:
+            return
+        self.next_tell = now + c.TELL_EVERY_S
+        up = [w for w in e.workers.table.values() if w.report is not None]
+        idle = [w for w in up if w.idle_since]
+        rooms = e.rooms.table.values()
+        log.info("fleet: %d up, %d booting, %d returning; %d idle: %d just so, %d not paid for, "
+                 "%d not settled, %d kept warm; cores %.0f, free %.0f; warm %.0f of %.0f wanted",
+                 len(up), len(self.booting()), len(self.returning), len(idle),
+                 sum(now - w.idle_since <= e.admin["idle_return_s"] for w in idle),
+                 sum(not self._paid_for(w.id) for w in idle),
+                 sum(not self.empty(w.id) for w in idle),
+                 sum(not warm.spare(w.id, headroom) for w in idle),
+                 sum(room.type.cpus for room in rooms),
+                 sum(max(0.0, room.cpus) for room in rooms), warm.cpus, headroom)
+
     def _return(self) -> None:
         e, now = self.e, self.e.now
         self._suspect()
         headroom, images = self._headroom()
         warm = self._warm(images)
+        self._tell(headroom, warm)
         for name, (kind, age) in self.booting().items():
             if self._stuck(name, kind, age) and name not in self.returning:
                 log.warning("%s has not come up within %.0f s", name, age)
