Peers hear of every report: quiet machines of the others stay fit for steps

Unchanged reports were passed on every 2.5 s plus a report's interval, which is longer than the gap that marks a deaf machine and about as long as the silence that keeps steps off: every controller took the others' machines for unfit half of the time, the leader rented for what they had room for, and hand-offs saw no room. Change: numbers of unchanged reports go to the peers every half second in one message, with the age of the last sign of health; they also tell a restarted controller what has been seen, so that later copies are dropped. Ruled out: cordons (0 to 9 returning), silence proper, the read of types.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -219,6 +219,9 @@
 PEER_BUFFER_MAX = 2_000_000
 """bytes; a link whose peer does not read is dropped beyond this."""
 
+ALIVE_EVERY_S = 0.5
+"""s; how often the peers are told whose reports came without news. With the time
+between two reports it stays below the silence after which no step goes to a machine."""
 PULSE_EVERY_S = 0.5
 """s; how often a controller tells the others that it lives."""
 PULSE_LOST_S = 1.8
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -129,7 +129,7 @@
 
     def _peer(self, message: dict[str, Any]) -> None:
         kind = message.get("kind")
-        if kind in ("worker", "lapsed", "gone"):
+        if kind in ("worker", "alive", "lapsed", "gone"):
             self.workers.on_peer(message)
         elif kind == "stop":
             self.steps.stop(str(message["job"]), str(message["machine"]),
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,8 @@
     """when the last report reached us or a peer passed it on"""
     well_at: float = -1e9
     """when a report last showed that our answers reach the worker"""
+    seen: tuple[int, int] = (0, 0)
+    """session and number of the newest report that anybody has seen"""
     first_term: int = 0
     """term when this controller first heard of the machine"""
     bound: float = 0.0
@@ -89,6 +92,9 @@
         """machines whose deletion was confirmed, or that the cloud calls failed"""
         self.wants_confirm = False
         self.orders_due: set[str] = set()
+        self.unchanged: set[str] = set()
+        """workers whose reports came and showed nothing new: told to the peers soon"""
+        self.next_alive = 0.0
         self.start_bound = 0.0
         self.next_remind = 0.0
         self.next_look = 0.0
@@ -145,17 +151,22 @@
             log.warning("%s cannot reach its owner %s; taking it over", worker.id, owner)
             self.e.membership.want_override[worker.id] = self.e.settings.name
 
-    def learn(self, report: wire.Report) -> bool:
-        """Take the report in if it is newer than the one known."""
+    def learn(self, report: wire.Report, well_s: float | None = None) -> bool:
+        """Take the report in if it is newer than the one known. `well_s`: a peer
+        passed it on, and knows since when the worker was last well."""
         worker = self.get(report.worker)
         old = worker.report
-        if old is not None and (report.session, report.seq) <= (old.session, old.seq):
+        number = (report.session, report.seq)
+        if number < worker.seen or (number == worker.seen and old is not None):
             return False
+        worker.seen = number
         now = self.e.now
         if old is None:
             worker.first_term = self.e.membership.term
-        if old is None or (old.session == report.session
-                           and now - worker.heard_at < c.ANSWER_LOST_S):
+        if well_s is not None:
+            worker.well_at = max(worker.well_at, now - well_s)
+        elif old is None or (old.session == report.session
+                             and now - worker.heard_at < c.ANSWER_LOST_S):
             # A worker whose answers do not arrive still reports, but only after
             # it has waited for each answer in vain.
             worker.well_at = now
@@ -198,14 +209,42 @@
         return True
 
     def pass_on(self, worker: Worker, force: bool = False) -> None:
-        """Tell the peers: every controller keeps a picture of all workers."""
+        """Tell the peers: every controller keeps a picture of all workers. Whole
+        reports go when they show something new, else that they came is enough."""
         report = worker.report
         if report is None:
             return
         changed = worker.id in self.e.steps.changed_workers
-        if force or changed or self.e.now - worker.passed_on >= c.PEER_RESEND_S / 2:
+        if force or changed or self.e.now - worker.passed_on >= c.PEER_RESEND_S:
             worker.passed_on = self.e.now
-            self.e.emit(PeerSend({"kind": "worker", "report": msgspec.to_builtins(report)}))
+            self.e.emit(PeerSend(self._whole(worker, report)))
+        else:
+            self.unchanged.add(worker.id)
+
+    def _whole(self, worker: Worker, report: wire.Report) -> dict[str, Any]:
+        return {"kind": "worker", "report": msgspec.to_builtins(report),
+                "well_s": round(min(self.e.now - worker.well_at, 1e6), 3)}
+
+    def _alive(self, names: Iterable[str], to: str | None = None) -> None:
+        """Workers whose reports came: number, and how long ago they came and were well."""
+        now = self.e.now
+        rows = [[name, *worker.seen, round(min(now - worker.heard_at, 1e6), 3),
+                 round(min(now - worker.well_at, 1e6), 3)]
+                for name in names if (worker := self.table.get(name)) is not None]
+        if rows:
+            self.e.emit(PeerSend({"kind": "alive", "workers": rows}, to))
+
+    def _on_alive(self, rows: list[Any]) -> None:
+        now = self.e.now
+        for name, session, seq, heard_s, well_s in rows:
+            worker = self.get(str(name))
+            # Copies of older reports are known for what they are from now on.
+            worker.seen = max(worker.seen, (int(session), int(seq)))
+            if worker.session == session:
+                worker.heard_at = max(worker.heard_at, now - float(heard_s))
+                worker.well_at = max(worker.well_at, now - float(well_s))
+                if worker.id not in self.e.rooms.table:
+                    self.e.rooms.touch(worker.id)
 
     # --- commands ---------------------------------------------------------
     def commands(self, worker: Worker, direct: bool) -> list[wire.Command]:
@@ -337,6 +376,10 @@
         if not member.acting():
             return
         now = self.e.now
+        if now >= self.next_alive:
+            self.next_alive = now + c.ALIVE_EVERY_S
+            self._alive(sorted(self.unchanged))
+            self.unchanged.clear()
         if now >= self.next_remind:
             self.next_remind = now + c.PEER_RESEND_S
             self._remind()
@@ -449,7 +492,9 @@
         if kind == "worker":
             report = msgspec.convert(message["report"], wire.Report)
             if report.worker not in self.gone:
-                self.learn(report)
+                self.learn(report, float(message.get("well_s", 0.0)))
+        elif kind == "alive":
+            self._on_alive([row for row in message["workers"] if row[0] not in self.gone])
         elif kind == "lapsed":
             self.set_lapsed(str(message["worker"]), int(message["session"]))
         elif kind == "gone":
@@ -459,11 +504,11 @@
         """A link (re)opened: what the peer missed is sent again."""
         for worker in self.table.values():
             if worker.report is not None and self.e.replica.view and self.owned(worker.id):
-                self.e.emit(PeerSend({"kind": "worker",
-                                      "report": msgspec.to_builtins(worker.report)}, name))
+                self.e.emit(PeerSend(self._whole(worker, worker.report), name))
             if worker.lapsed:
                 self.e.emit(PeerSend({"kind": "lapsed", "worker": worker.id,
                                       "session": worker.lapsed}, name))
+        self._alive(list(self.table), name)
         if self.gone:
             self.e.emit(PeerSend({"kind": "gone", "machines": list(self.gone)[-2000:]}, name))
 
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -123,6 +123,34 @@
     return wire.Report(name, "10.0.0.9:9", "h4", "a", session, seq, token)
 
 
+def test_a_restarted_controller_learns_what_its_peers_have_seen() -> None:
+    """It has no memory of its own; a late copy must not pass for the newest report."""
+    e, fresh = owner_of_nothing(), owner_of_nothing()
+    e.workers.learn(report("vm-1", 50))
+    e.workers.greet("n1")
+    for effect in e.effects:
+        assert isinstance(effect, ev.PeerSend)
+        fresh.handle([ev.PeerMessage(json.loads(wire.encode(effect.message)))], fresh.now, 0.0)
+    assert not fresh.workers.learn(report("vm-1", 49))
+    assert fresh.workers.learn(report("vm-1", 51))
+
+
+def test_quiet_workers_of_the_peers_stay_fit_for_steps() -> None:
+    """Told of every third report only, each controller took the machines of the others
+    for silent half of the time: the leader rented for what they had room for."""
+    world = World(8, capacity=8)
+    for number in range(1, 9):
+        world.clock.at(1.0, lambda n=number: world.submit(small(world, n, True, tasks=2)))
+    world.clock.run(25.0)
+    up = len(world.cloud.workers)
+    assert up >= 4
+    for step in range(40):
+        world.clock.run(25.0 + step / 4)
+        for node in world.nodes.values():
+            node.engine.rooms.refresh()
+            assert len(node.engine.rooms.table) == up
+
+
 def test_copies_at_a_stranger_move_no_worker(monkeypatch: Patch) -> None:
     """Each counted as a try of a worker that cannot reach its owner, and a new view
     took the live worker away from the owner that it reported to all the time."""
