Priorities of writes are head starts; tasks that are over are no victims

Change: below users, priorities are a head start of 0.4 to 1.6 s; victims() leaves out what the worker reports as over.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -47,6 +47,11 @@
 """ratio; part of the state service's limits that the controllers plan to use."""
 WRITES_CEILING = 0.8
 """ratio; most of the state service's writes that one controller tries for."""
+FINAL_AFTER_S = 0.4
+STEP_AFTER_S = 0.8
+PROGRESS_AFTER_S = 1.6
+"""s; how much longer than a step of a service final results, steps of arrays and lists
+of finished tasks wait for their write. All wait three seconds at most."""
 SPENT_S = 2.0
 """s; over which a controller averages what it writes, to tell the others."""
 WRITES_MORE = 2.0
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -26,6 +26,10 @@
     PROGRESS = 6
 
 
+HEAD_START_S = {Priority.URGENT: 0.0, Priority.FINAL: c.FINAL_AFTER_S,
+                Priority.STEP: c.STEP_AFTER_S, Priority.PROGRESS: c.PROGRESS_AFTER_S}
+
+
 @dataclass(slots=True)
 class Bucket:
     """A token bucket that allows a burst of one second's worth."""
@@ -93,6 +97,20 @@
         """Calls of this priority or a more urgent one that wait."""
         return sum(len(queue) for queue in self.queues[:priority + 1])
 
+    def _in_turn(self) -> list[Waiting]:
+        """All that waits, taken from the queues, in the order in which it is served.
+
+        Below users, priorities are a head start in time. Strictly by priority, a
+        burst of services kept results from being recorded for 40 s, and tasks that
+        had long ended were stopped once more to make room.
+        """
+        first = [call for queue in self.queues[:Priority.URGENT] for call in queue]
+        rest = sorted((call for queue in self.queues[Priority.URGENT:] for call in queue),
+                      key=lambda call: call.expires + HEAD_START_S[call.priority])
+        for queue in self.queues:
+            queue.clear()
+        return first + rest
+
     def due(self, now: float) -> tuple[list[Waiting], list[Waiting]]:
         """Calls that may go now, and calls that waited too long.
 
@@ -106,27 +124,23 @@
         send: list[Waiting] = []
         expired: list[Waiting] = []
         blocked = False
-        for priority, queue in enumerate(self.queues):
-            kept: deque[Waiting] = deque()
-            while queue:
-                call = queue.popleft()
-                urgent = priority <= Priority.VIEW
-                # Users wait for nobody: what they take is made up for by the rest,
-                # down to one second's worth.
-                floor = -self.writes.rate if priority == Priority.USER else (
-                    min(call.writes, self.writes.rate))
-                if call.expires <= now:
-                    expired.append(call)
-                elif (self.requests.level >= 1 or urgent) and (not call.writes or urgent or (
-                        not blocked and self.writes.level >= floor)):
-                    self.requests.level -= 1
-                    self.writes.level -= call.writes
-                    self.spent += call.writes / c.SPENT_S
-                    send.append(call)
-                else:
-                    blocked = blocked or bool(call.writes)
-                    kept.append(call)
-            self.queues[priority] = kept
+        for call in self._in_turn():
+            urgent = call.priority <= Priority.VIEW
+            # Users wait for nobody: what they take is made up for by the rest,
+            # down to one second's worth.
+            floor = -self.writes.rate if call.priority == Priority.USER else (
+                min(call.writes, self.writes.rate))
+            if call.expires <= now:
+                expired.append(call)
+            elif (self.requests.level >= 1 or urgent) and (not call.writes or urgent or (
+                    not blocked and self.writes.level >= floor)):
+                self.requests.level -= 1
+                self.writes.level -= call.writes
+                self.spent += call.writes / c.SPENT_S
+                send.append(call)
+            else:
+                blocked = blocked or bool(call.writes)
+                self.queues[call.priority].append(call)
         if blocked and self.writes.rate < self.ceiling:
             self.writes.rate = min(self.ceiling, self.writes.rate + elapsed * c.WRITES_MORE)
         return send, expired
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -130,6 +130,9 @@
                     continue
                 for task in attempt.tasks:
                     key = (f"{other_id}/{task}", attempt.number)
+                    shown = worker.tasks.get(key)
+                    if shown is not None and shown.state == wire.EXITED:
+                        continue  # over, and only not recorded yet
                     ran = self.e.now - worker.since.get(key, self.e.now)
                     if other.spec.checkpoint_s > 0:
                         ran = min(ran, other.spec.save_s)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -171,6 +171,37 @@
     assert b.due(10.0)[0] == [user]
 
 
+def test_results_are_recorded_however_many_services_come() -> None:
+    """Strict priorities starved the lists of finished tasks for 40 s."""
+    b = budget()
+    late = call(Priority.PROGRESS, 1, expires=3.0)
+    b.add(late)
+    for _ in range(8):
+        b.add(call(Priority.URGENT, 1, expires=3.0))
+    sent: list[Waiting] = []
+    for step in range(1, 30):
+        now = step / 10
+        b.add(call(Priority.URGENT, 1, expires=now + 3.0))
+        sent += b.due(now)[0]
+    assert late in sent
+    assert sent.index(late) > 5  # but services have a head start
+
+
+def test_tasks_that_are_over_are_no_victims() -> None:
+    """Room was made of tasks that had ended already, again and again."""
+    e = engine()
+    e.replica.put("ad/live/view", {"term": 1, "members": {"n0": "x"}, "leader": "n0"}, 1)
+    job = Job(spec(crates=2), 0, 5)
+    job.attempts.append(Attempt("vm-1", 1, 1, 1, False, {0, 1}))
+    e.replica.set_job(job)
+    tasks = [wire.TaskReport(f"{job.id}/0", 1, wire.EXITED, wire.DONE),
+             wire.TaskReport(f"{job.id}/1", 1, wire.RUNNING)]
+    e.workers.learn(wire.Report("vm-1", "10.0.0.9:9", "h4", "a", 1, 1, 1, tasks=tasks))
+    high = Job(spec(id="job-9", rank="production"), 0)
+    found = e.steps.preemption.victims(high, room("vm-1", 0))
+    assert [victim.task for victim in found] == [1]
+
+
 def test_full_queue_refuses_all_but_lease_and_view() -> None:
     b = budget()
     assert all(b.add(call(Priority.STEP, 1)) for _ in range(c.CALL_QUEUE_MAX))
