--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -51,7 +51,11 @@
 STEP_AFTER_S = 0.8
 PROGRESS_AFTER_S = 1.6
 """s; how much longer than a step of a service final results, steps of arrays and lists
-of finished tasks wait for their write. All wait three seconds at most."""
+of finished tasks wait for their write."""
+PATIENCE_S = 3.0
+STEP_PATIENCE_S = 6.0
+"""s; a call that has waited so long is given up and decided anew. Steps of arrays and
+lists of finished tasks wait longer: given up too soon, they would never get their turn."""
 SPENT_S = 2.0
 """s; over which a controller averages what it writes, to tell the others."""
 WRITES_MORE = 2.0
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -52,6 +52,8 @@
     timeout: float
     done: Callable[[StoreReply], None]
     expires: float
+    since: float = 0.0
+    """when it began to wait"""
 
 
 @dataclass(slots=True)
@@ -106,7 +108,7 @@
         """
         first = [call for queue in self.queues[:Priority.URGENT] for call in queue]
         rest = sorted((call for queue in self.queues[Priority.URGENT:] for call in queue),
-                      key=lambda call: call.expires + HEAD_START_S[call.priority])
+                      key=lambda call: call.since + HEAD_START_S[call.priority])
         for queue in self.queues:
             queue.clear()
         return first + rest
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -202,12 +202,12 @@
         self.emit(make(self.tag))
 
     def store(self, op: str, args: tuple[Any, ...], priority: Priority,
-              done: Callable[[ev.StoreReply], None], patience: float = 3.0) -> bool:
+              done: Callable[[ev.StoreReply], None], patience: float = c.PATIENCE_S) -> bool:
         """Queue a call to the state service; `done` is called in any case."""
         writes = len(args[0].writes) if op == "txn" else 0
         timeout = c.FOLLOW_TIMEOUT_S if op == "watch" else c.STORE_TIMEOUT_S
         queued = self.budget.add(Waiting(op, args, priority, writes, timeout, done,
-                                         self.now + patience))
+                                         self.now + patience, self.now))
         if not queued:
             done(ev.StoreReply(0, "refused"))
         return queued
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -503,16 +503,22 @@
         return name not in self.e.rooms.reserved_on and all(
             t.state == wire.EXITED for t in worker.report.tasks)
 
+    def _calm(self) -> bool:
+        """Are most workers heard of? If not, the trouble is ours or the network's."""
+        near = 2 * self.e.settings.cluster.workers.report_s
+        heard = [self.e.now - w.well_at < near for w in self.e.workers.table.values()
+                 if w.report]
+        return sum(heard) >= c.CALM_SHARE * len(heard)
+
     def _suspect(self) -> None:
         """Replicas on a machine that fell silent come back sooner if the machine
         is deleted than if its lease is waited for. Not while many are silent:
         then the trouble is ours, or the network's."""
         e, now = self.e, self.e.now
         report_s = e.settings.cluster.workers.report_s
-        heard = [now - w.well_at < 2 * report_s for w in e.workers.table.values() if w.report]
         if (self.led_since is None or now - max(self.led_since, e.membership.term_at,
                                                 e.membership.acting_since) < c.CALM_S
-                or sum(heard) < c.CALM_SHARE * len(heard)):
+                or not self._calm()):
             return
         for name, worker in e.workers.table.items():
             # Silent, or deaf: its reports arrive and our answers do not.
@@ -594,6 +600,7 @@
         headroom, images = self._headroom()
         warm = self._warm(images)
         self._tell(headroom, warm)
+        calm = self._calm()
         for name, (kind, age) in self.booting().items():
             if self._stuck(name, kind, age) and name not in self.returning:
                 log.warning("%s has not come up within %.0f s", name, age)
@@ -612,7 +619,9 @@
                     and warm.spare(name, headroom)):
                 warm.take(name)
                 self._cordon(name, "idle")
-            elif worker.lapsed >= worker.session and now - worker.heard_at > c.SILENT_DELETE_S:
+            elif (now - worker.heard_at > c.SILENT_DELETE_S and calm
+                    and (worker.lapsed >= worker.session
+                         or name not in e.replica.by_machine)):
                 self.returning[name] = Returning(now - c.CORDON_S, "silent", True)
         ready = []
         for name, item in list(self.returning.items()):
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -455,7 +455,8 @@
                 self.e.read_keys([JOBS + job.id] + ([TEAMS + team] if record else []))
             self.retry_at[job.id] = self.e.now + pause
 
-        return self.e.store("txn", (plan,), priority, done)
+        patience = c.STEP_PATIENCE_S if priority >= Priority.STEP else c.PATIENCE_S
+        return self.e.store("txn", (plan,), priority, done, patience)
 
     def _team_written(self, team: str, record: Team, revision: int) -> None:
         self.e.quota.sure[team] = revision
