Arrays hold no room while users and services wait for their writes

Change: while more than two writes of users and services wait, arrays are not placed, for at most 3 s in a row.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -48,8 +48,8 @@
 WRITES_CEILING = 0.8
 """ratio; most of the state service's writes that one controller tries for."""
 FINAL_AFTER_S = 0.4
-STEP_AFTER_S = 0.8
-PROGRESS_AFTER_S = 1.6
+STEP_AFTER_S = 1.5
+PROGRESS_AFTER_S = 2.0
 """s; how much longer than a step of a service final results, steps of arrays and lists
 of finished tasks wait for their write."""
 PATIENCE_S = 3.0
@@ -64,6 +64,10 @@
 """ratio; what a refusal leaves of the rate, down to the equal share."""
 CROWDED = 2
 """calls; with more steps waiting, arrays gather room and results for longer."""
+HOLD_BACK_S = 3.0
+"""s; longest time for which arrays are not placed because users and services wait for
+their writes. At the start of a day steps of arrays, reserved and not yet written, held
+the machines that the services still to be accepted needed."""
 GATHER_S = 0.3
 GATHER_CROWDED_S = 0.8
 """s; pause between two passes that place arrays. Tasks run for tens of seconds."""
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -42,6 +42,8 @@
         self.preemption = Preemption(engine)
         self.next_queue = 0.0
         self.next_arrays = 0.0
+        self.held_back = math.inf
+        """since when arrays wait for the writes of users and services"""
         self.mine_since: dict[str, float] = {}
         """job handed to us -> when we learned of it"""
         self.next_sweep = 0.0
@@ -87,6 +89,18 @@
         """Do steps wait for the state service's limit?"""
         return self.e.budget.waiting(Priority.STEP) > c.CROWDED
 
+    def _hold_back(self) -> bool:
+        """Do users and services wait for so many writes that steps of arrays would
+        only keep room from the services to come? Not for longer than a while."""
+        if self.e.budget.waiting(Priority.URGENT) <= c.CROWDED:
+            self.held_back = math.inf
+            return False
+        self.held_back = min(self.held_back, self.e.now)
+        if self.e.now - self.held_back < c.HOLD_BACK_S:
+            return True
+        self.held_back = self.e.now
+        return False
+
     def _clear(self, job_id: str) -> None:
         tables: tuple[dict[str, Any], ...] = (
             self.retry_at, self.written_at, self.lost_since, self.blocked, self.stops,
@@ -237,7 +251,7 @@
         full = _Full()
         # Room that running tasks free comes by and by: gathered for a moment, it is
         # taken by one job in one step, not by each in one of its own.
-        arrays = self.e.now >= self.next_arrays
+        arrays = self.e.now >= self.next_arrays and not self._hold_back()
         if arrays:
             self.next_arrays = self.e.now + (c.GATHER_CROWDED_S if self._crowded()
                                              else c.GATHER_S)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -386,3 +386,16 @@
 
     assert returned(4.0) == set()
     assert returned(4.5) == {"vm-1"}
+
+
+def test_arrays_hold_no_room_while_users_and_services_wait_for_writes() -> None:
+    e = engine()
+    assert not e.steps._hold_back()
+    for _ in range(5):
+        e.budget.add(call(Priority.USER, 1))
+    held = []
+    for _ in range(50):  # ten seconds
+        e.now += 0.2
+        held.append(e.steps._hold_back())
+    assert held[:14] == [True] * 14
+    assert 2 <= held.count(False) <= 4  # held back, but not for ever
