Waiting steps of arrays make way for stops and services

Ruled out: limits of teams, lost messages, idle returns. Change: a stop takes the waiting write of its job back and goes first; a service without room takes back waiting steps of lower rank that reserve machines it may use.

--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -85,6 +85,15 @@
         self.queues[call.priority].append(call)
         return True
 
+    def withdraw(self, call: Waiting) -> bool:
+        """Take a call back; False if it no longer waits."""
+        queue = self.queues[call.priority]
+        for place, other in enumerate(queue):
+            if other is call:
+                del queue[place]
+                return True
+        return False
+
     def limited(self) -> None:
         """The state service refused writes as too many."""
         self.writes.rate = max(self.share, self.writes.rate * c.WRITES_BACK)
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -205,15 +205,16 @@
         self.emit(make(self.tag))
 
     def store(self, op: str, args: tuple[Any, ...], priority: Priority,
-              done: Callable[[ev.StoreReply], None], patience: float = c.PATIENCE_S) -> bool:
-        """Queue a call to the state service; `done` is called in any case."""
+              done: Callable[[ev.StoreReply], None], patience: float = c.PATIENCE_S) -> Waiting | None:
+        """Queue a call to the state service; `done` is called in any case. None: the
+        queue is full."""
         writes = len(args[0].writes) if op == "txn" else 0
         timeout = c.FOLLOW_TIMEOUT_S if op == "watch" else c.STORE_TIMEOUT_S
-        queued = self.budget.add(Waiting(op, args, priority, writes, timeout, done,
-                                         self.now + patience, self.now))
-        if not queued:
-            done(ev.StoreReply(0, "refused"))
-        return queued
+        call = Waiting(op, args, priority, writes, timeout, done, self.now + patience, self.now)
+        if self.budget.add(call):
+            return call
+        done(ev.StoreReply(0, "refused"))
+        return None
 
     def _drain(self) -> None:
         send, expired = self.budget.due(self.now)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -9,7 +9,7 @@
 from appledock import constants as c
 from appledock import wire
 from appledock.core import placement
-from appledock.core.budget import Priority
+from appledock.core.budget import Priority, Waiting
 from appledock.core.events import Drop, Put, StoreReply, TxnPlan
 from appledock.core.jobs import Attempt, Job
 from appledock.core.placement import Room
@@ -29,6 +29,8 @@
         self.changed_workers: set[str] = set()
         self.dirty: set[str] = set()
         self.busy: set[str] = set()
+        self.calls: dict[str, Waiting] = {}
+        """job -> its write, perhaps still waiting"""
         self.later: set[str] = set()
         """jobs to be looked at again soon"""
         self.next_later = 0.0
@@ -142,6 +144,7 @@
         leave machines half cleared.
         """
         self.stops.setdefault(job_id, {}).setdefault(machine, set()).update(tasks)
+        self._withdraw(job_id)
         self.dirty.add(job_id)
 
     def _apply_stops(self, job: Job) -> bool:
@@ -312,6 +315,10 @@
         left = count - sum(number for _, number in placed)
         handoff = self._hand_off(job, rooms, left, gang) if left else None
         if not placed and handoff is None:
+            if job.spec.service and self._take_back(job):
+                self.blocked[job.id] = "room is being made"
+                self.e.queue_dirty = True
+                return False
             if not gang and zones is not None:
                 handoff = self.preemption.make_room(job, count, zones)
             if handoff is None:
@@ -436,6 +443,7 @@
 
         def done(reply: StoreReply) -> None:
             self.busy.discard(job.id)
+            self.calls.pop(job.id, None)
             self.e.rooms.release(job.id)
             ended(reply.outcome)
             self.e.queue_dirty = True
@@ -470,7 +478,31 @@
             self.retry_at[job.id] = self.e.now + pause
 
         patience = c.STEP_PATIENCE_S if priority >= Priority.STEP else c.PATIENCE_S
-        return self.e.store("txn", (plan,), priority, done, patience)
+        call = self.e.store("txn", (plan,), priority, done, patience)
+        if call is not None:
+            self.calls[job.id] = call
+        return call is not None
+
+    def _withdraw(self, job_id: str) -> bool:
+        """Take back a write that still waits for the state service's limit: something
+        more urgent changes the same record, or needs the room that it reserves."""
+        call = self.calls.get(job_id)
+        if call is None or call.priority <= Priority.URGENT or not self.e.budget.withdraw(call):
+            return False
+        call.done(StoreReply(0, "refused"))
+        self.retry_at[job_id] = self.e.now
+        return True
+
+    def _take_back(self, job: Job) -> bool:
+        """Steps of lower rank that are not written yet make way for a service."""
+        taken = False
+        for other_id, entries in list(self.e.rooms.reserved.items()):
+            other = self.e.replica.jobs.get(other_id)
+            if other is not None and other.spec.rank < job.spec.rank and any(
+                    (room := self.e.rooms.table.get(machine)) is not None
+                    and placement.allowed_on(job.spec, room) for machine, _, _ in entries):
+                taken = self._withdraw(other_id) or taken
+        return taken
 
     def _team_written(self, team: str, record: Team, revision: int) -> None:
         self.e.quota.sure[team] = revision
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -17,6 +17,7 @@
 from appledock.core.jobs import Attempt, Job, decode
 from appledock.core.placement import Room
 from appledock.core.replica import JOBS, TEAMS, Replica, View
+from tests.test_grown import owner_of_nothing
 from tests.test_requests import engine, spec
 
 KIND = wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"], fetch_gb_per_s=0.5)
@@ -399,3 +400,29 @@
         held.append(e.steps._hold_back())
     assert held[:14] == [True] * 14
     assert 2 <= held.count(False) <= 4  # held back, but not for ever
+
+
+def test_waiting_steps_of_arrays_make_way_for_stops_and_services() -> None:
+    """A step that waited for its write kept the record busy, so that stops came too late
+    for those they made room for, and kept machines from services."""
+    e = owner_of_nothing()
+    e.types = {"h4": KIND}
+    e.replica.put("ad/live/members/n0", {"incarnation": "x.1", "lease": 1}, 1)
+    mine = [f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0"]
+    vm = next(f"vm-{i}" for i in range(99) if e.replica.owner_of(f"vm-{i}") == "n0")
+    e.workers.learn(wire.Report(vm, "10.0.0.9:9", "h4", "a", 1, 1, 5))
+    array = Job(spec(id=mine[0], crates=4), 0.0, 2)
+    e.replica.set_job(array)
+    e.budget.writes.rate, e.budget.ceiling, e.budget.writes.level = 0.0, 0.0, -9.0
+    e.handle([], e.now + 0.2, 0.0)
+    assert e.rooms.reserved_on == {vm: {mine[0]: 4}} and mine[0] in e.steps.busy
+    service = Job(spec(id=mine[1], crates=1, cores=4.0, rank="production", shape="daemon"), 0.0, 3)
+    e.replica.set_job(service)
+    for _ in range(3):
+        e.membership.touch_sent = e.membership.view_sent = e.now
+        e.handle([], e.now + 0.11, 0.0)
+    assert e.rooms.reserved_on == {vm: {mine[1]: 1}}
+    assert mine[0] not in e.steps.busy and mine[1] in e.steps.busy
+    # A stop takes the waiting write of its own job back too, but not an urgent one.
+    e.steps.stop(mine[1], vm, {0})
+    assert mine[1] in e.steps.busy
