--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -205,7 +205,8 @@
         self.emit(make(self.tag))
 
     def store(self, op: str, args: tuple[Any, ...], priority: Priority,
-              done: Callable[[ev.StoreReply], None], patience: float = c.PATIENCE_S) -> Waiting | None:
+              done: Callable[[ev.StoreReply], None], patience: float = c.PATIENCE_S
+              ) -> Waiting | None:
         """Queue a call to the state service; `done` is called in any case. None: the
         queue is full."""
         writes = len(args[0].writes) if op == "txn" else 0
