The first step under a view shares a team's limit out for all controllers

Change: whoever writes a team's record first under a view gives every member its part of what is unused.

--- a/appledock/core/quota.py
+++ b/appledock/core/quota.py
@@ -271,9 +271,11 @@
         else:
             shares[me] = shares.get(me, NOTHING).most(mine + after)
             spare = (most - total(shares)).most(NOTHING)
-            # Some more than needed, so that the next steps need no write.
-            shares[me] = shares[me] + spare.times(
-                c.SHARE_SLACK / max(1, len(view.members))).least(shares[me])
+            # Some more than needed, so that the next steps need no write; under a new
+            # view some for everybody, or each would write each team's record first.
+            part = spare.times(c.SHARE_SLACK / max(1, len(view.members)))
+            for node in (me,) if team.term == view.term else sorted(view.members):
+                shares[node] = shares.get(node, NOTHING) + part
         if not total(shares).fits(most):
             return False, None
         return True, Team(team.version, view.term, _plain(shares, view.members))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -302,6 +302,17 @@
     assert 10.0 <= record.shares["n0"][0] <= 24.0
 
 
+def test_the_first_step_under_a_view_shares_out_for_all() -> None:
+    """A hundred services of sixteen teams came at once: each controller wrote each
+    team's record before its second step there, and arrays took the machines meanwhile."""
+    e, first, _ = sharing()
+    e.replica.put(VIEW, {"term": 6, "members": {"n0": "x.1", "n1": "y"}, "leader": "n0"}, 9)
+    e.quota.on_view()
+    _, record = e.quota.plan(first, grown(first, 1), "n0")
+    assert record is not None and record.shares["n1"][0] >= 4.0
+    assert sum(share[0] for share in record.shares.values()) <= 24.0
+
+
 def test_a_job_handed_over_takes_its_charge_along() -> None:
     e, first, _ = sharing()
     new = grown(first, 2)
