--- a/appledock/adapters/cloud.py
+++ b/appledock/adapters/cloud.py
@@ -51,8 +51,11 @@
     return "invalid" if status == 400 else "unknown", None
 
 
-ANSWERS: dict[str, Any] = {"types": wire.MachineTypes, "list": wire.MachineList,
-                           "rent": wire.Rented}
+ANSWERS: dict[str, Any] = {
+    "types": wire.MachineTypes,
+    "list": wire.MachineList,
+    "rent": wire.Rented,
+}
 """call -> type of a good answer"""
 
 
--- a/appledock/adapters/store.py
+++ b/appledock/adapters/store.py
@@ -19,12 +19,16 @@
     writes = []
     for write in plan.writes:
         if isinstance(write, Put):
-            writes.append(wire.Write(put=write.key, value=write.value,
-                                     lease=msgspec.UNSET if write.lease is None else write.lease))
+            writes.append(
+                wire.Write(
+                    put=write.key,
+                    value=write.value,
+                    lease=msgspec.UNSET if write.lease is None else write.lease,
+                )
+            )
         else:
             writes.append(wire.Write(delete=write.key))
-    return wire.encode(wire.Txn([wire.Condition(k, v) for k, v in plan.conditions.items()],
-                                writes))
+    return wire.encode(wire.Txn([wire.Condition(k, v) for k, v in plan.conditions.items()], writes))
 
 
 class Store:
@@ -66,8 +70,9 @@
         if status == 400:
             if b"no such lease" in answer:
                 return "expired", None
-            log.error("state service refused %s as malformed or too large: %s", call.op,
-                      answer[:200])
+            log.error(
+                "state service refused %s as malformed or too large: %s", call.op, answer[:200]
+            )
             return "invalid", None
         if status in (429, 503):
             log.debug("state service: %d to %s", status, call.op)
@@ -79,8 +84,13 @@
     return "unknown", None
 
 
-ANSWERS: dict[str, Any] = {"txn": wire.Committed, "get": wire.Row, "list": wire.Rows,
-                           "watch": wire.Watched, "grant": wire.Grant}
+ANSWERS: dict[str, Any] = {
+    "txn": wire.Committed,
+    "get": wire.Row,
+    "list": wire.Rows,
+    "watch": wire.Watched,
+    "grant": wire.Grant,
+}
 """call -> type of a good answer"""
 
 
--- a/appledock/adapters/users.py
+++ b/appledock/adapters/users.py
@@ -39,7 +39,7 @@
         _only(method, "POST")
         return ev.Submit(ask, _submission(_decode(_SPEC, body)))
     if path.startswith(wire.PATH_JOBS + "/"):
-        rest = path[len(wire.PATH_JOBS) + 1:]
+        rest = path[len(wire.PATH_JOBS) + 1 :]
         job, slash, action = rest.partition("/")
         if slash and action != "cancel":
             raise Refused(404, "no such path")
@@ -54,7 +54,7 @@
                 payload = msgspec.json.decode(body)
             except MALFORMED as error:
                 raise Refused(400, f"not JSON: {error}") from None
-        return ev.Admin(ask, method, tuple(path[len(ADMIN):].strip("/").split("/")), payload)
+        return ev.Admin(ask, method, tuple(path[len(ADMIN) :].strip("/").split("/")), payload)
     raise Refused(404, "no such path")
 
 
--- a/appledock/adapters/workers.py
+++ b/appledock/adapters/workers.py
@@ -40,7 +40,8 @@
                 status, body = await client.request("GET", wire.PATH_SHOW, b"", call.timeout)
             else:
                 status, body = await client.request(
-                    "POST", wire.PATH_ORDERS, wire.encode(call.orders), call.timeout)
+                    "POST", wire.PATH_ORDERS, wire.encode(call.orders), call.timeout
+                )
             if status not in (200, 409):
                 log.error("worker %s answered %d: %s", call.addr, status, body[:200])
                 return WorkerReply(call.tag, "unknown")
--- a/appledock/app.py
+++ b/appledock/app.py
@@ -27,6 +27,7 @@
 
 Called = TypeVar("Called", ev.StoreReply, ev.CloudReply, ev.WorkerReply)
 
+
 class App:
     """One controller."""
 
@@ -45,22 +46,29 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.store = Store(*split_address(settings.external.state))
         self.cloud = Cloud(*split_address(settings.external.cloud))
-        self.workers = WorkerCalls(int(
-            settings.cluster.limits.fd_limit * c.FD_WORKERS_SHARE))
-        self.links = {peer.name: PeerLink(peer.name, *split_address(peer.address),
-                                          opened=lambda name: self.push(ev.PeerOpened(name)))
-                      for peer in settings.peers}
+        self.workers = WorkerCalls(int(settings.cluster.limits.fd_limit * c.FD_WORKERS_SHARE))
+        self.links = {
+            peer.name: PeerLink(
+                peer.name,
+                *split_address(peer.address),
+                opened=lambda name: self.push(ev.PeerOpened(name)),
+            )
+            for peer in settings.peers
+        }
         self.said: dict[str, list[bytes]] = {name: [] for name in self.links}
         """peer -> messages of the present batch"""
 
     async def run(self) -> None:
         """Serve until the process is killed."""
-        server = Server(self._request, self.settings.cluster.limits.fd_limit - c.FD_RESERVE
-                        - self.workers.most)
+        server = Server(
+            self._request, self.settings.cluster.limits.fd_limit - c.FD_RESERVE - self.workers.most
+        )
         await server.start(*split_address(self.settings.listen))
         await self.loop.create_server(
             lambda: PeerServer(lambda message: self.push(ev.PeerMessage(message))),
-            *split_address(self.settings.peer_listen), reuse_address=True)
+            *split_address(self.settings.peer_listen),
+            reuse_address=True,
+        )
         for link in self.links.values():
             self._spawn(link.run())
         log.info("%s listens on %s", self.settings.name, self.settings.listen)
@@ -100,9 +108,17 @@
     def _request(self, method: str, path: str, query: str, body: bytes, answer: Answer) -> None:
         self.asked += 1
         if path == users.ADMIN + "metrics" and method == "GET":
-            answer(200, wire.encode({**self.metrics.summary(),
-                                     "conflicts": self.engine.conflicts,
-                                     "refusals": self.engine.refusals}), None)
+            answer(
+                200,
+                wire.encode(
+                    {
+                        **self.metrics.summary(),
+                        "conflicts": self.engine.conflicts,
+                        "refusals": self.engine.refusals,
+                    }
+                ),
+                None,
+            )
             return
         try:
             command = users.command(self.asked, method, path, body)
@@ -149,8 +165,9 @@
         self.push(reply)
 
     async def _worker(self, call: ev.WorkerCall) -> None:
-        self.push(await self._certainly(self.workers.run(call),
-                                        ev.WorkerReply(call.tag, "unknown")))
+        self.push(
+            await self._certainly(self.workers.run(call), ev.WorkerReply(call.tag, "unknown"))
+        )
 
     @staticmethod
     async def _certainly(answer: Awaitable[Called], unknown: Called) -> Called:
--- a/appledock/cli.py
+++ b/appledock/cli.py
@@ -14,8 +14,12 @@
 from appledock import __version__
 from appledock.settings import Settings, SettingsError, load
 
-LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO,
-          "debug": logging.DEBUG}
+LEVELS = {
+    "error": logging.ERROR,
+    "warning": logging.WARNING,
+    "info": logging.INFO,
+    "debug": logging.DEBUG,
+}
 FAILED, USAGE = 1, 2
 """Exit codes: the request failed; the call or the file is wrong."""
 
@@ -23,8 +27,11 @@
 def set_up_logging() -> None:
     """Log to standard error at the level of LOG_LEVEL."""
     name = os.environ.get("LOG_LEVEL", "info").lower()
-    logging.basicConfig(stream=sys.stderr, level=LEVELS.get(name, logging.INFO),
-                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS.get(name, logging.INFO),
+        format="%(asctime)s %(levelname)s %(name)s %(message)s",
+    )
     if name not in LEVELS:
         logging.warning("unknown LOG_LEVEL %r, using info", name)
 
@@ -106,8 +113,9 @@
     lines = [columns, *([cell(row.get(name)) for name in columns] for row in rows)]
     widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
     for line in lines:
-        click.echo("  ".join(text.ljust(width) for text, width in zip(
-            line, widths, strict=True)).rstrip())
+        click.echo(
+            "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True)).rstrip()
+        )
 
 
 def show(reply: Any, as_json: bool, rows: list[dict[str, Any]], columns: list[str]) -> None:
@@ -117,8 +125,14 @@
         table(rows, columns)
 
 
-API = click.option("--api", metavar="HOST:PORT", envvar="APPLEDOCK_API", default="127.0.0.1:8080",
-                   show_default=True, help="A controller's public address (or APPLEDOCK_API).")
+API = click.option(
+    "--api",
+    metavar="HOST:PORT",
+    envvar="APPLEDOCK_API",
+    default="127.0.0.1:8080",
+    show_default=True,
+    help="A controller's public address (or APPLEDOCK_API).",
+)
 JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
 
 
@@ -165,8 +179,24 @@
 def jobs(api: str, as_json: bool) -> None:
     """Open jobs and what they wait for."""
     reply = ask(api, "GET", "jobs")
-    show(reply, as_json, reply["jobs"], ["id", "class", "team", "priority", "tasks", "done", "open",
-                                         "queued", "cancelled", "owner", "waits_for"])
+    show(
+        reply,
+        as_json,
+        reply["jobs"],
+        [
+            "id",
+            "class",
+            "team",
+            "priority",
+            "tasks",
+            "done",
+            "open",
+            "queued",
+            "cancelled",
+            "owner",
+            "waits_for",
+        ],
+    )
 
 
 @main.command()
@@ -175,8 +205,23 @@
 def machines(api: str, as_json: bool) -> None:
     """Machines whose workers report."""
     reply = ask(api, "GET", "machines")
-    show(reply, as_json, reply["machines"], ["id", "type", "zone", "spot", "owner", "session",
-                                             "tasks", "free_cpus", "silent_s", "cordoned"])
+    show(
+        reply,
+        as_json,
+        reply["machines"],
+        [
+            "id",
+            "type",
+            "zone",
+            "spot",
+            "owner",
+            "session",
+            "tasks",
+            "free_cpus",
+            "silent_s",
+            "cordoned",
+        ],
+    )
 
 
 @main.command()
@@ -185,8 +230,12 @@
 def teams(api: str, as_json: bool) -> None:
     """What the teams hold of their guarantees and limits."""
     reply = ask(api, "GET", "teams")
-    show(reply, as_json, reply["teams"], ["name", "cpus_held", "cpus", "cpus_max", "gpus_held",
-                                          "gpus", "gpus_max"])
+    show(
+        reply,
+        as_json,
+        reply["teams"],
+        ["name", "cpus_held", "cpus", "cpus_max", "gpus_held", "gpus", "gpus_max"],
+    )
 
 
 @main.command()
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -34,14 +34,21 @@
 
 
 OPTIONS: dict[str, Option] = {
-    "idle_return_s": Option(c.IDLE_RETURN_S, 1, 3600, "s",
-                            "how long an idle machine is kept before it is returned"),
+    "idle_return_s": Option(
+        c.IDLE_RETURN_S, 1, 3600, "s", "how long an idle machine is kept before it is returned"
+    ),
     "step_tasks": Option(c.STEP_TASKS, 1, 1000, "tasks", "size of one step of an array"),
     "sample": Option(c.SAMPLE, 1, 1000, "machines", "machines looked at for each task"),
-    "machines_max": Option(100_000, 0, 100_000, "machines",
-                           "the leader rents no more once so many are up or booting"),
-    "lost_work_weight": Option(c.LOST_WORK_WEIGHT, 0, 100, "ratio",
-                               "a second of thrown away work against a second of waiting"),
+    "machines_max": Option(
+        100_000, 0, 100_000, "machines", "the leader rents no more once so many are up or booting"
+    ),
+    "lost_work_weight": Option(
+        c.LOST_WORK_WEIGHT,
+        0,
+        100,
+        "ratio",
+        "a second of thrown away work against a second of waiting",
+    ),
 }
 
 
@@ -115,34 +122,50 @@
         view = e.replica.view
         budget = e.budget
         return {
-            "node": e.settings.name, "healthy": e.healthy(), "authority": e.membership.authority(),
-            "leader": view.leader if view else None, "term": view.term if view else 0,
-            "members": view.members if view else {}, "overrides": view.overrides if view else {},
+            "node": e.settings.name,
+            "healthy": e.healthy(),
+            "authority": e.membership.authority(),
+            "leader": view.leader if view else None,
+            "term": view.term if view else 0,
+            "members": view.members if view else {},
+            "overrides": view.overrides if view else {},
             "detached": sorted(view.detached) if view else [],
             "format": e.replica.format[1],
-            "formats": {node: member.format for node, member
-                        in sorted(e.replica.members.items())},
-            "revision": e.replica.revision, "jobs": len(e.replica.jobs),
+            "formats": {node: member.format for node, member in sorted(e.replica.members.items())},
+            "revision": e.replica.revision,
+            "jobs": len(e.replica.jobs),
             "queued_tasks": sum(job.queued for job in e.replica.jobs.values()),
             "machines": sum(w.report is not None for w in e.workers.table.values()),
             "booting": len(e.fleet.booting()) if e.membership.leader() else None,
-            "calls_waiting": budget.size(), "users_waiting": len(e.requests.open),
-            "machine_types": sorted(e.types)}
+            "calls_waiting": budget.size(),
+            "users_waiting": len(e.requests.open),
+            "machine_types": sorted(e.types),
+        }
 
     def jobs(self) -> list[dict[str, Any]]:
         e = self.e
         rows = []
         for job in sorted(e.replica.jobs.values(), key=lambda job: job.id):
-            rows.append({
-                "id": job.id, "class": job.spec.job_class, "team": job.spec.team,
-                "priority": job.spec.priority, "tasks": job.spec.tasks, "done": len(job.done),
-                "open": job.open_tasks, "queued": job.queued,
-                "cancelled": e.replica.withdrawn(job.id),
-                "owner": e.replica.job_owner(job) if e.replica.view else None,
-                "failures": job.failures, "waits_for": self._waits_for(job),
-                "needs": job.spec.needs or [], "needs_left": e.replica.needs.left(job.id),
-                "needed_by": sorted(e.replica.needs.dependents.get(job.id, ())),
-                "unsettled": [self._attempt(job, attempt) for attempt in job.attempts]})
+            rows.append(
+                {
+                    "id": job.id,
+                    "class": job.spec.job_class,
+                    "team": job.spec.team,
+                    "priority": job.spec.priority,
+                    "tasks": job.spec.tasks,
+                    "done": len(job.done),
+                    "open": job.open_tasks,
+                    "queued": job.queued,
+                    "cancelled": e.replica.withdrawn(job.id),
+                    "owner": e.replica.job_owner(job) if e.replica.view else None,
+                    "failures": job.failures,
+                    "waits_for": self._waits_for(job),
+                    "needs": job.spec.needs or [],
+                    "needs_left": e.replica.needs.left(job.id),
+                    "needed_by": sorted(e.replica.needs.dependents.get(job.id, ())),
+                    "unsettled": [self._attempt(job, attempt) for attempt in job.attempts],
+                }
+            )
         return rows
 
     def _waits_for(self, job: Job) -> str | None:
@@ -161,13 +184,20 @@
             reason = "machine not heard of"
         elif worker.report.session != attempt.session:
             reason = "session change not recorded yet"
-        elif any((f"{job.id}/{task}", attempt.number) not in worker.tasks
-                 for task in attempt.tasks):
+        elif any(
+            (f"{job.id}/{task}", attempt.number) not in worker.tasks for task in attempt.tasks
+        ):
             reason = "launch not seen"
         else:
             reason = "stopping" if attempt.stopping or job.cancelled else "running"
-        return {"machine": attempt.machine, "session": attempt.session, "attempt": attempt.number,
-                "term": attempt.term, "tasks": sorted(attempt.tasks), "state": reason}
+        return {
+            "machine": attempt.machine,
+            "session": attempt.session,
+            "attempt": attempt.number,
+            "term": attempt.term,
+            "tasks": sorted(attempt.tasks),
+            "state": reason,
+        }
 
     def machines(self) -> list[dict[str, Any]]:
         e = self.e
@@ -181,14 +211,22 @@
             if report is None:
                 continue
             room = free.get(name)
-            rows.append({
-                "id": name, "type": report.type, "zone": report.zone, "spot": report.spot,
-                "owner": e.replica.owner_of(name) if e.replica.view else None,
-                "session": report.session, "token": report.token,
-                "silent_s": round(e.now - worker.heard_at, 1), "notice_s": report.notice_s,
-                "cordoned": worker.cordoned or None,
-                "tasks": sum(t.state != "exited" for t in report.tasks),
-                "free_cpus": round(room.cpus, 3) if room else None})
+            rows.append(
+                {
+                    "id": name,
+                    "type": report.type,
+                    "zone": report.zone,
+                    "spot": report.spot,
+                    "owner": e.replica.owner_of(name) if e.replica.view else None,
+                    "session": report.session,
+                    "token": report.token,
+                    "silent_s": round(e.now - worker.heard_at, 1),
+                    "notice_s": report.notice_s,
+                    "cordoned": worker.cordoned or None,
+                    "tasks": sum(t.state != "exited" for t in report.tasks),
+                    "free_cpus": round(room.cpus, 3) if room else None,
+                }
+            )
         return rows
 
     def teams(self) -> list[dict[str, Any]]:
@@ -197,18 +235,38 @@
             known = self.e.replica.view is not None
             held = self.e.quota.held_in_all(name) if known else NOTHING
             record = self.e.replica.team(name)
-            rows.append({"name": name, "cpus_held": held.cpus, "cpus": team.cpus,
-                         "cpus_max": team.cpus_max, "gpus_held": held.gpus, "gpus": team.gpus,
-                         "gpus_max": team.gpus_max, "term": record.term,
-                         "cpus_shares": {node: share[0] for node, share
-                                         in sorted(record.shares.items())}})
+            rows.append(
+                {
+                    "name": name,
+                    "cpus_held": held.cpus,
+                    "cpus": team.cpus,
+                    "cpus_max": team.cpus_max,
+                    "gpus_held": held.gpus,
+                    "gpus": team.gpus,
+                    "gpus_max": team.gpus_max,
+                    "term": record.term,
+                    "cpus_shares": {
+                        node: share[0] for node, share in sorted(record.shares.items())
+                    },
+                }
+            )
         return rows
 
     def settings(self) -> dict[str, Any]:
-        return {"version": self.e.replica.settings[0], "settings": {
-            name: {"value": self.values[name], "default": option.default, "least": option.least,
-                   "most": option.most, "unit": option.unit, "reason": option.reason}
-            for name, option in sorted(OPTIONS.items())}}
+        return {
+            "version": self.e.replica.settings[0],
+            "settings": {
+                name: {
+                    "value": self.values[name],
+                    "default": option.default,
+                    "least": option.least,
+                    "most": option.most,
+                    "unit": option.unit,
+                    "reason": option.reason,
+                }
+                for name, option in sorted(OPTIONS.items())
+            },
+        }
 
     # --- changing ---------------------------------------------------------
     def _change(self, cmd: Admin) -> None:
@@ -245,8 +303,13 @@
             else:
                 self._answer(cmd, {"error": "state service does not answer"}, 503)
 
-        self.e.store("txn", (TxnPlan({SETTINGS: asked}, [Put(SETTINGS, new)]),), Priority.USER,
-                     done, c.REQUEST_DEADLINE_S)
+        self.e.store(
+            "txn",
+            (TxnPlan({SETTINGS: asked}, [Put(SETTINGS, new)]),),
+            Priority.USER,
+            done,
+            c.REQUEST_DEADLINE_S,
+        )
 
     def _machine(self, cmd: Admin, name: str, action: str) -> None:
         worker = self.e.workers.table.get(name)
--- a/appledock/core/aims.py
+++ b/appledock/core/aims.py
@@ -47,8 +47,9 @@
         """s from submission by which it should be over, one for each aim."""
         if spec.deadline_s is None:
             return []
-        return sorted(spec.deadline_s * times
-                      for times in self._of(self.times, spec.job_class) or {1.0})
+        return sorted(
+            spec.deadline_s * times for times in self._of(self.times, spec.job_class) or {1.0}
+        )
 
     def aged(self, spec: wire.JobSpec) -> float:
         """s of waiting after which a job that has not begun comes first in its rank."""
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -26,8 +26,12 @@
     PROGRESS = 6
 
 
-HEAD_START_S = {Priority.URGENT: 0.0, Priority.FINAL: c.FINAL_AFTER_S,
-                Priority.STEP: c.STEP_AFTER_S, Priority.PROGRESS: c.PROGRESS_AFTER_S}
+HEAD_START_S = {
+    Priority.URGENT: 0.0,
+    Priority.FINAL: c.FINAL_AFTER_S,
+    Priority.STEP: c.STEP_AFTER_S,
+    Priority.PROGRESS: c.PROGRESS_AFTER_S,
+}
 
 
 @dataclass(slots=True)
@@ -106,7 +110,7 @@
 
     def waiting(self, priority: Priority) -> int:
         """Calls of this priority or a more urgent one that wait."""
-        return sum(len(queue) for queue in self.queues[:priority + 1])
+        return sum(len(queue) for queue in self.queues[: priority + 1])
 
     def _in_turn(self) -> list[Waiting]:
         """All that waits, taken from the queues, in the order in which it is served.
@@ -115,9 +119,11 @@
         burst of services kept results from being recorded for 40 s, and tasks that
         had long ended were stopped once more to make room.
         """
-        first = [call for queue in self.queues[:Priority.URGENT] for call in queue]
-        rest = sorted((call for queue in self.queues[Priority.URGENT:] for call in queue),
-                      key=lambda call: call.since + HEAD_START_S[call.priority])
+        first = [call for queue in self.queues[: Priority.URGENT] for call in queue]
+        rest = sorted(
+            (call for queue in self.queues[Priority.URGENT :] for call in queue),
+            key=lambda call: call.since + HEAD_START_S[call.priority],
+        )
         for queue in self.queues:
             queue.clear()
         return first + rest
@@ -141,12 +147,16 @@
             urgent = call.priority <= Priority.VIEW
             # Users wait for nobody: what they take is made up for by the rest,
             # down to one second's worth.
-            floor = -self.writes.rate if call.priority == Priority.USER else (
-                min(call.writes, self.writes.rate))
+            floor = (
+                -self.writes.rate
+                if call.priority == Priority.USER
+                else (min(call.writes, self.writes.rate))
+            )
             if call.expires <= now:
                 expired.append(call)
-            elif (self.requests.level >= 1 or urgent) and (not call.writes or urgent or (
-                    not blocked and self.writes.level >= floor)):
+            elif (self.requests.level >= 1 or urgent) and (
+                not call.writes or urgent or (not blocked and self.writes.level >= floor)
+            ):
                 self.requests.level -= 1
                 self.writes.level -= call.writes
                 self.spent += call.writes / c.SPENT_S
--- a/appledock/core/cancels.py
+++ b/appledock/core/cancels.py
@@ -64,8 +64,12 @@
         self.e.emit(PeerSend(self._message(job_id, job, revision)))
 
     def _message(self, job_id: str, job: Job | None, revision: int) -> dict[str, Any]:
-        return {"kind": "cancelled", "job": job_id, "version": revision,
-                "record": self.e.record(job) if job is not None else None}
+        return {
+            "kind": "cancelled",
+            "job": job_id,
+            "version": revision,
+            "record": self.e.record(job) if job is not None else None,
+        }
 
     def greet(self, name: str) -> None:
         """A link opened: the peer may have missed what was said."""
@@ -86,13 +90,18 @@
 
     # --- halts ------------------------------------------------------------
     def _cancelled(self, job_id: str) -> bool:
-        return (job_id in self.e.replica.cancelled
-                or self.e.replica.finals.get(job_id) == wire.CANCELLED)
+        return (
+            job_id in self.e.replica.cancelled
+            or self.e.replica.finals.get(job_id) == wire.CANCELLED
+        )
 
     def seen(self, report: wire.Report) -> None:
         """A report that we may not answer: what must not go on is halted all the same."""
-        tasks = [task for task in report.tasks if task.state != wire.EXITED
-                 and self._cancelled(split_task(task.task)[0])]
+        tasks = [
+            task
+            for task in report.tasks
+            if task.state != wire.EXITED and self._cancelled(split_task(task.task)[0])
+        ]
         if tasks:
             self._halt(report, tasks)
 
@@ -100,23 +109,32 @@
         """Straight to the worker, with its own token: a higher one would make a launch
         of the present owner void, a lower one is refused."""
         now = self.e.now
-        due = [task for task in tasks if now - self.halted.get(
-            (report.worker, task.task, task.attempt), -1e9) >= c.HALT_AGAIN_S]
+        due = [
+            task
+            for task in tasks
+            if now - self.halted.get((report.worker, task.task, task.attempt), -1e9)
+            >= c.HALT_AGAIN_S
+        ]
         if not due:
             return
         for task in due:
             self.halted[report.worker, task.task, task.attempt] = now
-        orders = wire.Orders(report.token, report.session, [
-            wire.Command(wire.HALT, task.task, task.attempt, grace_s=0.0) for task in due])
-        log.info("%s: %s of cancelled jobs halted, though not ours to command", report.worker,
-                 [task.task for task in due])
+        orders = wire.Orders(
+            report.token,
+            report.session,
+            [wire.Command(wire.HALT, task.task, task.attempt, grace_s=0.0) for task in due],
+        )
+        log.info(
+            "%s: %s of cancelled jobs halted, though not ours to command",
+            report.worker,
+            [task.task for task in due],
+        )
 
         def answered(reply: WorkerReply) -> None:
             if reply.report is not None and reply.report.worker == report.worker:
                 self._news(reply.report)
 
-        self.e.call(lambda tag: WorkerCall(tag, report.addr, orders, c.ORDERS_TIMEOUT_S),
-                    answered)
+        self.e.call(lambda tag: WorkerCall(tag, report.addr, orders, c.ORDERS_TIMEOUT_S), answered)
 
     def _news(self, report: wire.Report) -> None:
         """Only of workers known already: one first heard of while we have no authority
@@ -135,10 +153,10 @@
             return
         for job_id in [j for j in self.known if j not in replica.cancelled]:
             del self.known[job_id]
-        self.halted = {key: at for key, at in self.halted.items()
-                       if now - at < c.HALT_AGAIN_S}
-        self.deleting = {name: at for name, at in self.deleting.items()
-                         if now - at < c.CANCEL_DELETE_AGAIN_S}
+        self.halted = {key: at for key, at in self.halted.items() if now - at < c.HALT_AGAIN_S}
+        self.deleting = {
+            name: at for name, at in self.deleting.items() if now - at < c.CANCEL_DELETE_AGAIN_S
+        }
         machines: dict[str, list[wire.TaskReport]] = {}
         doomed: list[str] = []
         for job_id in sorted(replica.cancelled):
@@ -170,25 +188,24 @@
         owner = self.e.replica.owner_of(worker.id)
         if owner == self.e.settings.name:
             return not self.e.membership.acting()
-        return (not self.e.pulse.works(owner)
-                or self.e.now - known.since > c.HALT_FOR_OTHERS_S)
+        return not self.e.pulse.works(owner) or self.e.now - known.since > c.HALT_FOR_OTHERS_S
 
     @staticmethod
     def _shown(worker: Worker, job_id: str, attempt: Attempt) -> list[wire.TaskReport]:
         if worker.session != attempt.session:
             return []
-        entries = [worker.tasks.get((f"{job_id}/{task}", attempt.number))
-                   for task in attempt.tasks]
-        return [entry for entry in entries if entry is not None
-                and entry.state != wire.EXITED]
+        entries = [worker.tasks.get((f"{job_id}/{task}", attempt.number)) for task in attempt.tasks]
+        return [entry for entry in entries if entry is not None and entry.state != wire.EXITED]
 
     # --- the last resort --------------------------------------------------
     def _late(self, known: Known) -> bool:
         """Is the time nearly over, and was halting tried for a while? The owner, who
         sees most, is first; the others follow if the machine is not gone then."""
         cancel_s = self.e.settings.cluster.workers.cancel_s
-        return (self.e.now > known.told + cancel_s - c.CANCEL_DELETE_S
-                and self.e.now - known.since > c.HALT_FOR_OTHERS_S)
+        return (
+            self.e.now > known.told + cancel_s - c.CANCEL_DELETE_S
+            and self.e.now - known.since > c.HALT_FOR_OTHERS_S
+        )
 
     def _may_run(self, worker: Worker | None, job: Job, attempt: Attempt) -> bool:
         """May a task of the attempt go on? Not if a proof says that it is over, nor if
@@ -199,9 +216,9 @@
             return False
         lease_s = self.e.settings.cluster.workers.lease_s
         lapsed = self.e.now - max(worker.bound, worker.heard_at) > (
-            lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S)
-        if lapsed or all(workers.verdict(job, attempt, task) is not None
-                         for task in attempt.tasks):
+            lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
+        )
+        if lapsed or all(workers.verdict(job, attempt, task) is not None for task in attempt.tasks):
             return False
         if worker.session != attempt.session:
             return False
@@ -213,8 +230,9 @@
         workers has a doubtful picture and deletes nothing: it is cut off itself, and the
         workers' leases end without it."""
         now = self.e.now
-        names = [name for name in names if now - self.deleting.get(name, -1e9)
-                 >= c.CANCEL_DELETE_AGAIN_S][:c.DELETE_MAX]
+        names = [
+            name for name in names if now - self.deleting.get(name, -1e9) >= c.CANCEL_DELETE_AGAIN_S
+        ][: c.DELETE_MAX]
         if not names or now < self.next_delete or not self._sees():
             return
         self.next_delete = now + c.CANCEL_DELETE_AGAIN_S / 2
@@ -233,6 +251,9 @@
 
     def _sees(self) -> bool:
         near = 2 * self.e.settings.cluster.workers.report_s
-        heard = [self.e.now - worker.heard_at < near
-                 for worker in self.e.workers.table.values() if worker.report]
+        heard = [
+            self.e.now - worker.heard_at < near
+            for worker in self.e.workers.table.values()
+            if worker.report
+        ]
         return sum(heard) >= c.CALM_SHARE * len(heard)
--- a/appledock/core/compact.py
+++ b/appledock/core/compact.py
@@ -21,8 +21,10 @@
 from appledock.core.intervals import IntervalSet
 
 _NAME = re.compile(r"\A(.*?)([0-9]{1,9})\Z", re.DOTALL)
-_WORD = re.compile(r"\A([0-9a-z]+)((?:[+-][0-9a-z]+)?(?:\.[0-9a-z]+)?"
-                   r"(?:[+-][0-9a-z]+(?:\.[0-9a-z]+)?)*)\Z")
+_WORD = re.compile(
+    r"\A([0-9a-z]+)((?:[+-][0-9a-z]+)?(?:\.[0-9a-z]+)?"
+    r"(?:[+-][0-9a-z]+(?:\.[0-9a-z]+)?)*)\Z"
+)
 _BLOCK = re.compile(r"([+-][0-9a-z]+)?(?:\.([0-9a-z]+))?")
 _DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 
@@ -50,12 +52,14 @@
 
 def pack(rows: list[Row]) -> list[list[Any]]:
     """The attempts in groups."""
+
     def group(row: Row) -> tuple[Any, ...]:
         return (*row[1:5], *_split(row[0])[:2])
 
     result = []
-    ordered = sorted((row for row in rows if row[5]),
-                     key=lambda row: (group(row), min(row[5]), row[0]))
+    ordered = sorted(
+        (row for row in rows if row[5]), key=lambda row: (group(row), min(row[5]), row[0])
+    )
     for key, members in groupby(ordered, key=group):
         words, end = [], -1
         for row in members:
--- a/appledock/core/dependencies.py
+++ b/appledock/core/dependencies.py
@@ -131,8 +131,7 @@
     # --- questions --------------------------------------------------------
     def left(self, job_id: str) -> list[str]:
         """The needs that are not known to be done."""
-        return [need for need in self.needs.get(job_id, ())
-                if self.outcome.get(need) != wire.DONE]
+        return [need for need in self.needs.get(job_id, ()) if self.outcome.get(need) != wire.DONE]
 
     def undecided(self, job_id: str) -> bool:
         """Is it unknown how a job ended that this one needs, directly or through others?
@@ -167,8 +166,10 @@
                     left.append(dependent)
         # From the ends of the chains backwards: again until nothing changes is never
         # more than the chain is long, and chains have no cycles.
-        values = {name: (self._job(name, job).spec.rank, self._job(name, job).deadline())
-                  for name in order}
+        values = {
+            name: (self._job(name, job).spec.rank, self._job(name, job).deadline())
+            for name in order
+        }
         changed = True
         while changed:
             changed = False
@@ -177,8 +178,9 @@
                 for dependent in self.dependents.get(name, ()):
                     if dependent in self.doomed:
                         continue
-                    other_rank, other_end = (values[dependent] if dependent in values
-                                             else self._pressing[dependent])
+                    other_rank, other_end = (
+                        values[dependent] if dependent in values else self._pressing[dependent]
+                    )
                     rank = max(rank, other_rank)
                     end = min(end, other_end - self.open[dependent].spec.estimate_s)
                 if (rank, end) != values[name]:
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -55,8 +55,9 @@
         # A controller cut off right before a cancellation may answer a worker for
         # one lease more, and the worker runs on for its own lease after that: both
         # must fit into the time a cancellation has.
-        self.grant_s = max(c.GRANT_MIN_S, min(
-            c.GRANT_S, workers.cancel_s - workers.lease_s - c.CANCEL_RESERVE_S))
+        self.grant_s = max(
+            c.GRANT_MIN_S, min(c.GRANT_S, workers.cancel_s - workers.lease_s - c.CANCEL_RESERVE_S)
+        )
         self.teams = {team.name: team for team in settings.cluster.teams}
         self.aims = Aims(settings.cluster.objectives)
         self.types: dict[str, wire.MachineType] = {}
@@ -68,10 +69,12 @@
         self.conflicts: Counter[str] = Counter()
         """kind of key -> transactions that failed on it, for the metrics"""
         share = c.BUDGET_SHARE / settings.cluster.size
-        self.budget = Budget(Bucket(settings.cluster.state.rps * share),
-                             Bucket(settings.cluster.state.write_rps * share),
-                             settings.cluster.state.write_rps * share,
-                             settings.cluster.state.write_rps * c.WRITES_CEILING)
+        self.budget = Budget(
+            Bucket(settings.cluster.state.rps * share),
+            Bucket(settings.cluster.state.write_rps * share),
+            settings.cluster.state.write_rps * share,
+            settings.cluster.state.write_rps * c.WRITES_CEILING,
+        )
         self.replica = Replica()
         self.membership = Membership(self)
         self.pulse = Pulse(self)
@@ -144,8 +147,11 @@
         if kind in ("worker", "alive", "lapsed", "gone"):
             self.workers.on_peer(message)
         elif kind == "stop":
-            self.steps.stop(str(message["job"]), str(message["machine"]),
-                            {int(task) for task in message["tasks"]})
+            self.steps.stop(
+                str(message["job"]),
+                str(message["machine"]),
+                {int(task) for task in message["tasks"]},
+            )
         elif kind in ("rented", "cordon"):
             self.fleet.on_peer(message)
         elif kind == "cancelled":
@@ -158,8 +164,14 @@
             self._load()
         if self.loaded and not self.watching and self.now >= self.next_watch:
             self._watch()
-        for tick in (self.membership.tick, self.pulse.tick, self.workers.tick,
-                     self.cancels.tick, self.requests.tick, self.fleet.tick):
+        for tick in (
+            self.membership.tick,
+            self.pulse.tick,
+            self.workers.tick,
+            self.cancels.tick,
+            self.requests.tick,
+            self.fleet.tick,
+        ):
             try:
                 tick()
             except Exception:  # of one part: it must not stop the others
@@ -208,8 +220,12 @@
         submission can be decided. Whoever alone is not served by the state service
         steps aside; in an outage, which all meet, nobody does: being taken back
         would take longer than the outage."""
-        return (self.loaded and self.membership.joined and bool(self.types)
-                and not self.pulse.shut_out())
+        return (
+            self.loaded
+            and self.membership.joined
+            and bool(self.types)
+            and not self.pulse.shut_out()
+        )
 
     # --- calls ------------------------------------------------------------
     def call(self, make: Callable[[int], ev.Effect], done: Callable[[Any], None]) -> None:
@@ -218,9 +234,14 @@
         self.callbacks[self.tag] = done
         self.emit(make(self.tag))
 
-    def store(self, op: str, args: tuple[Any, ...], priority: Priority,
-              done: Callable[[ev.StoreReply], None], patience: float = c.PATIENCE_S
-              ) -> Waiting | None:
+    def store(
+        self,
+        op: str,
+        args: tuple[Any, ...],
+        priority: Priority,
+        done: Callable[[ev.StoreReply], None],
+        patience: float = c.PATIENCE_S,
+    ) -> Waiting | None:
         """Queue a call to the state service; `done` is called in any case. None: the
         queue is full."""
         writes = len(args[0].writes) if op == "txn" else 0
@@ -264,16 +285,23 @@
     def _too_large(self, plan: ev.TxnPlan) -> None:
         """A limit that nobody announced: from now on records are kept below the largest
         value refused, down to a floor. Sent again as it is, it would be refused for ever."""
-        largest = max((len(wire.encode(write.value)) for write in plan.writes
-                       if isinstance(write, ev.Put)), default=0)
+        largest = max(
+            (len(wire.encode(write.value)) for write in plan.writes if isinstance(write, ev.Put)),
+            default=0,
+        )
         bound = max(c.VALUE_LEAST_BYTES, int(largest * c.VALUE_SLACK))
         if bound < self.value_bytes:
-            log.warning("values of %d bytes are refused: records are kept to %d bytes",
-                        largest, bound)
+            log.warning(
+                "values of %d bytes are refused: records are kept to %d bytes", largest, bound
+            )
             self.value_bytes = bound
 
-    def read_keys(self, keys: list[str], then: Callable[[], None] | None = None,
-                  failed: Callable[[], None] | None = None) -> None:
+    def read_keys(
+        self,
+        keys: list[str],
+        then: Callable[[], None] | None = None,
+        failed: Callable[[], None] | None = None,
+    ) -> None:
         """Read keys afresh into the replica, one after the other, then go on;
         `failed` if one cannot be read.
 
@@ -349,8 +377,9 @@
             else:
                 self.next_watch = self.now + c.RETRY_MIN_S + self.rng.random() * 0.2
 
-        self.store("watch", (c.KEY_ROOT, self.replica.revision, c.FOLLOW_BLOCK_MS),
-                   Priority.VIEW, done)
+        self.store(
+            "watch", (c.KEY_ROOT, self.replica.revision, c.FOLLOW_BLOCK_MS), Priority.VIEW, done
+        )
 
     # --- records ----------------------------------------------------------
     def record(self, job: Job) -> dict[str, Any]:
@@ -377,8 +406,7 @@
         return self.replica.needs.pressing(job)[0]
 
     def owns_job(self, job: Job) -> bool:
-        return (self.replica.view is not None
-                and self.replica.job_owner(job) == self.settings.name)
+        return self.replica.view is not None and self.replica.job_owner(job) == self.settings.name
 
     def running(self, job: Job) -> int:
         """Tasks that reports show as running, for display."""
@@ -404,7 +432,13 @@
     def placeable(self, worker: Worker) -> bool:
         """May steps be placed on the worker's machine?"""
         report = worker.report
-        return (report is not None and report.type in self.types and not worker.cordoned
-                and worker.id not in self.workers.gone and report.session > worker.lapsed
-                and report.notice_s is None and worker.proven
-                and self.now - worker.well_at <= 2.5 * self.settings.cluster.workers.report_s)
+        return (
+            report is not None
+            and report.type in self.types
+            and not worker.cordoned
+            and worker.id not in self.workers.gone
+            and report.session > worker.lapsed
+            and report.notice_s is None
+            and worker.proven
+            and self.now - worker.well_at <= 2.5 * self.settings.cluster.workers.report_s
+        )
--- a/appledock/core/events.py
+++ b/appledock/core/events.py
@@ -93,8 +93,20 @@
     pass
 
 
-Cmd = (Submit | Poll | Cancel | Reported | Health | Admin | StoreReply | CloudReply | WorkerReply
-       | PeerMessage | PeerOpened | Tick)
+Cmd = (
+    Submit
+    | Poll
+    | Cancel
+    | Reported
+    | Health
+    | Admin
+    | StoreReply
+    | CloudReply
+    | WorkerReply
+    | PeerMessage
+    | PeerOpened
+    | Tick
+)
 
 # --- effects --------------------------------------------------------------
 
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -68,22 +68,35 @@
         self.rows: dict[tuple[Kind, float, float, float], tuple[Room, int]] = {}
 
     def add(self, room: Room, number: int) -> None:
-        key = ((room.type.name, room.zone, room.spot), round(room.cpus, 3),
-               round(room.gpus, 3), round(room.memory_gb, 2))
+        key = (
+            (room.type.name, room.zone, room.spot),
+            round(room.cpus, 3),
+            round(room.gpus, 3),
+            round(room.memory_gb, 2),
+        )
         _, count = self.rows.get(key, (room, 0))
         self.rows[key] = (room, count + number)
 
     def count(self, spec: wire.JobSpec, zone: str) -> int:
         """How many tasks of this size fit in the zone."""
-        return sum(room.count(spec) * number for room, number in self.rows.values()
-                   if room.zone == zone and placement.allowed_on(spec, room))
+        return sum(
+            room.count(spec) * number
+            for room, number in self.rows.values()
+            if room.zone == zone and placement.allowed_on(spec, room)
+        )
 
     def take(self, spec: wire.JobSpec, tasks: int, zone: str | None = None) -> int:
         """Put up to `tasks` tasks on the rows, the tightest first; what is left."""
-        rows = sorted(((room.cpus, key) for key, (room, _) in self.rows.items()
-                       if placement.allowed_on(spec, room) and room.fits(spec)
-                       and zone in (None, room.zone)),
-                      key=lambda row: (row[0], row[1]))
+        rows = sorted(
+            (
+                (room.cpus, key)
+                for key, (room, _) in self.rows.items()
+                if placement.allowed_on(spec, room)
+                and room.fits(spec)
+                and zone in (None, room.zone)
+            ),
+            key=lambda row: (row[0], row[1]),
+        )
         for _, key in rows:
             if tasks <= 0:
                 break
@@ -102,8 +115,9 @@
     def _rest(self, room: Room, spec: wire.JobSpec, tasks: int, number: int) -> None:
         """What `number` such machines have left with `tasks` tasks on each."""
         if number > 0:
-            left = Room("", room.type, room.zone, room.spot, 0, room.cpus, room.gpus,
-                        room.memory_gb)
+            left = Room(
+                "", room.type, room.zone, room.spot, 0, room.cpus, room.gpus, room.memory_gb
+            )
             left.take(spec, tasks)
             self.add(left, number)
 
@@ -111,21 +125,28 @@
 class Warm:
     """Machines that a service could use at once, and what they offer together."""
 
-    def __init__(self, rows: dict[str, tuple[float, frozenset[str]]],
-                 images: dict[str, float]) -> None:
+    def __init__(
+        self, rows: dict[str, tuple[float, frozenset[str]]], images: dict[str, float]
+    ) -> None:
         self.rows = rows
         self.images = images
         self.cpus = sum(cpus for cpus, _ in rows.values())
-        self.holders = {image: sum(image in held and cpus >= size
-                                   for cpus, held in rows.values())
-                        for image, size in images.items()}
+        self.holders = {
+            image: sum(image in held and cpus >= size for cpus, held in rows.values())
+            for image, size in images.items()
+        }
 
     def spare(self, name: str, cpus: float) -> bool:
         """Would the headroom still be there without this machine?"""
         row = self.rows.get(name)
-        return row is None or (self.cpus - row[0] >= cpus and all(
-            self.holders[image] - (row[0] >= size) >= 1
-            for image, size in self.images.items() if image in row[1]))
+        return row is None or (
+            self.cpus - row[0] >= cpus
+            and all(
+                self.holders[image] - (row[0] >= size) >= 1
+                for image, size in self.images.items()
+                if image in row[1]
+            )
+        )
 
     def take(self, name: str) -> None:
         row = self.rows.pop(name, None)
@@ -235,10 +256,14 @@
             self.e.types = {kind.name: kind for kind in reply.data.types}
             self.e.rooms.touch_all()
             self.e.queue_dirty = True
-            stored = {kind["hull"]: kind for kind in self.e.replica.catalogue[1]
-                      if isinstance(kind, dict) and "hull" in kind}
+            stored = {
+                kind["hull"]: kind
+                for kind in self.e.replica.catalogue[1]
+                if isinstance(kind, dict) and "hull" in kind
+            }
             if (self._shape(reply.data.types) != before or not stored) and (
-                    self.e.membership.leader()):
+                self.e.membership.leader()
+            ):
                 self._store_types()
 
         self.e.call(lambda tag: CloudCall(tag, "types", (), c.CLOUD_TIMEOUT_S), done)
@@ -246,8 +271,9 @@
     @staticmethod
     def _shape(types: Any) -> list[Any]:
         """Everything but the prices, which move all the time."""
-        return sorted((k.name, k.cpus, k.gpus, k.memory_gb, k.boot_s, tuple(k.zones))
-                      for k in types)
+        return sorted(
+            (k.name, k.cpus, k.gpus, k.memory_gb, k.boot_s, tuple(k.zones)) for k in types
+        )
 
     def _store_types(self) -> None:
         version = self.e.replica.catalogue[0]
@@ -261,8 +287,12 @@
             else:
                 self.next_types = min(self.next_types, self.e.now + 5.0)
 
-        self.e.store("txn", (TxnPlan({CATALOGUE: version}, [Put(CATALOGUE, value)]),),
-                     Priority.PROGRESS, done)
+        self.e.store(
+            "txn",
+            (TxnPlan({CATALOGUE: version}, [Put(CATALOGUE, value)]),),
+            Priority.PROGRESS,
+            done,
+        )
 
     # --- machine list -----------------------------------------------------
     def _list(self) -> None:
@@ -292,17 +322,22 @@
         """The list lags: a missing row proves nothing, a failed machine is gone."""
         now = self.e.now
         self.listed, self.listed_at = found, now
-        failed = [name for name, machine in found.items()
-                  if machine.state == wire.FAILED and name not in self.e.workers.gone]
+        failed = [
+            name
+            for name, machine in found.items()
+            if machine.state == wire.FAILED and name not in self.e.workers.gone
+        ]
         if failed:
             self.announce_gone(failed)
         for name, machine in found.items():
             if machine.state == wire.FAILED and name not in self.returning:
                 self.returning[name] = Returning(now - c.CORDON_S, "failed", True)
         lost = c.LOST_AFTER_S + 2 * self.e.settings.cluster.cloud.list_lag_s
-        for name in [n for n, r in self.rentals.items()
-                     if n in self.e.workers.table or now - r.at > lost
-                     or n in self.e.workers.gone]:
+        for name in [
+            n
+            for n, r in self.rentals.items()
+            if n in self.e.workers.table or now - r.at > lost or n in self.e.workers.gone
+        ]:
             if name in found or name in self.e.workers.table or now - self.rentals[name].at > lost:
                 del self.rentals[name]
 
@@ -322,8 +357,11 @@
             if not self._heard(name) and name not in self.e.workers.gone:
                 result[name] = (rental.kind, now - rental.at)
         for name, machine in self.listed.items():
-            if (machine.state != wire.FAILED and not self._heard(name)
-                    and name not in self.e.workers.gone):
+            if (
+                machine.state != wire.FAILED
+                and not self._heard(name)
+                and name not in self.e.workers.gone
+            ):
                 age = machine.age_s + now - self.listed_at
                 result[name] = ((machine.type, machine.zone, machine.spot), age)
         return result
@@ -373,8 +411,9 @@
             if type_ is not None:
                 supply.add(_empty("", type_, request.kind), request.count)
         wanted: dict[Kind, int] = {}
-        parts = ((job, *part) for job, tasks in demand
-                 for part in self._by_zone(job, tasks, supply))
+        parts = (
+            (job, *part) for job, tasks in demand for part in self._by_zone(job, tasks, supply)
+        )
         for job, zone, tasks in parts:
             left = supply.take(job.spec, tasks, zone)
             if left and not job.spec.service:
@@ -393,8 +432,11 @@
                     break
                 left = rest
                 wanted[cheapest] = wanted.get(cheapest, 0) + number
-        room_left = int(e.admin["machines_max"]) - sum(
-            w.report is not None for w in e.workers.table.values()) - len(booting)
+        room_left = (
+            int(e.admin["machines_max"])
+            - sum(w.report is not None for w in e.workers.table.values())
+            - len(booting)
+        )
         for kind, count in wanted.items():
             number = min(count, c.RENT_MAX, room_left)
             if number > 0:
@@ -412,17 +454,33 @@
         if not (spec.one_zone or spec.spread):
             return [(None, tasks)]
         held = self.e.steps.zones(job) or {}
-        free = {zone: supply.count(spec, zone) for kind in self.e.types.values()
-                if placement.type_fits(spec, kind) for zone in kind.zones
-                if spec.zone in (None, zone)}
+        free = {
+            zone: supply.count(spec, zone)
+            for kind in self.e.types.values()
+            if placement.type_fits(spec, kind)
+            for zone in kind.zones
+            if spec.zone in (None, zone)
+        }
         # Those with most room first, and then those where machines are to be had.
-        zones = sorted(free, key=lambda zone: (
-            -min(free[zone], tasks), self._cheapest(spec, tasks, zone) is None, zone))
+        zones = sorted(
+            free,
+            key=lambda zone: (
+                -min(free[zone], tasks),
+                self._cheapest(spec, tasks, zone) is None,
+                zone,
+            ),
+        )
         cap = placement.zone_cap(spec)
         if spec.one_zone:
             bound = [zone for zone in zones if held.get(zone)]
-            zones = bound or [zone for zone in zones if free[zone] >= tasks
-                              or self._cheapest(spec, tasks, zone) is not None][:1]
+            zones = (
+                bound
+                or [
+                    zone
+                    for zone in zones
+                    if free[zone] >= tasks or self._cheapest(spec, tasks, zone) is not None
+                ][:1]
+            )
         parts = dict.fromkeys(zones, 0)
         rented = sorted(zones, key=lambda zone: self._cheapest(spec, tasks, zone) is None)
         for order, most in ((zones, free), (rented, None)):
@@ -444,8 +502,11 @@
                 spec = e.replica.jobs[job_id].spec
                 if spec.service or spec.estimate_s <= 0:
                     continue
-                horizon = room.type.boot_s + (spec.image_gb / room.type.fetch_gb_per_s
-                                              if room.type.fetch_gb_per_s > 0 else 0.0)
+                horizon = room.type.boot_s + (
+                    spec.image_gb / room.type.fetch_gb_per_s
+                    if room.type.fetch_gb_per_s > 0
+                    else 0.0
+                )
                 for attempt in attempts:
                     for task in attempt.tasks:
                         since = worker.since.get((f"{job_id}/{task}", attempt.number))
@@ -466,26 +527,31 @@
         e = self.e
         held: dict[str, quota.Amounts] = {}
         result = []
-        for job in sorted((e.replica.jobs[j] for j in e.replica.queued),
-                          key=lambda job: (e.steps.urgency(job), job.id)):
+        for job in sorted(
+            (e.replica.jobs[j] for j in e.replica.queued),
+            key=lambda job: (e.steps.urgency(job), job.id),
+        ):
             limits = e.teams.get(job.spec.team)
-            if limits is None or not any(placement.type_fits(job.spec, kind)
-                                         for kind in e.types.values()):
+            if limits is None or not any(
+                placement.type_fits(job.spec, kind) for kind in e.types.values()
+            ):
                 continue
             if job.failures >= 3:
                 continue  # a job that fails everywhere is not worth machines
             used = held.get(job.spec.team)
             if used is None:
                 used = e.quota.held_in_all(job.spec.team)
-            tasks = min(job.queued, 4 * c.RENT_MAX, (quota.limit(limits) - used).most(
-                quota.NOTHING).count(job.spec))
+            tasks = min(
+                job.queued,
+                4 * c.RENT_MAX,
+                (quota.limit(limits) - used).most(quota.NOTHING).count(job.spec),
+            )
             if tasks:
                 held[job.spec.team] = used + quota.need(job.spec, tasks)
                 result.append((job, tasks))
         return result
 
-    def _cheapest(self, spec: wire.JobSpec, tasks: int, only: str | None = None
-                  ) -> Kind | None:
+    def _cheapest(self, spec: wire.JobSpec, tasks: int, only: str | None = None) -> Kind | None:
         """The kind that costs least per task, among those not refused lately. `only`:
         in this zone."""
         best: tuple[float, Kind] | None = None
@@ -495,7 +561,7 @@
             for zone in type_.zones:
                 if spec.zone not in (None, zone) or only not in (None, zone):
                     continue
-                for spot in ((True, False) if spec.spot else (False,)):
+                for spot in (True, False) if spec.spot else (False,):
                     kind = (type_.name, zone, spot)
                     if self.refused.get(kind, 0.0) > self.e.now:
                         continue
@@ -526,8 +592,15 @@
             if reply.outcome == "ok":
                 log.info("rented %s: %s", request.kind, reply.data.machines)
                 self._rented(list(reply.data.machines), request.kind)
-                self.e.emit(PeerSend({"kind": "rented", "machines": reply.data.machines,
-                                      "type": list(request.kind)}))
+                self.e.emit(
+                    PeerSend(
+                        {
+                            "kind": "rented",
+                            "machines": reply.data.machines,
+                            "type": list(request.kind),
+                        }
+                    )
+                )
                 if len(reply.data.machines) < request.count:
                     self.refused[request.kind] = self.e.now + c.NO_CAPACITY_S
             elif reply.outcome == "full":
@@ -553,19 +626,21 @@
         if worker is None or worker.report is None:
             return True
         return name not in self.e.rooms.reserved_on and all(
-            t.state == wire.EXITED for t in worker.report.tasks)
+            t.state == wire.EXITED for t in worker.report.tasks
+        )
 
     def _calm(self) -> bool:
         """Are most workers heard of, and our own by ourselves? If not, the trouble is
         ours or the network's."""
         near = 2 * self.e.settings.cluster.workers.report_s
-        heard = [self.e.now - w.well_at < near for w in self.e.workers.table.values()
-                 if w.report]
+        heard = [self.e.now - w.well_at < near for w in self.e.workers.table.values() if w.report]
         # Guards against a leader that alone has lost its workers: the others still
         # hear of them, only its own questions stay without an answer, and it once
         # deleted a fifth of the fleet as mute.
-        return (sum(heard) >= c.CALM_SHARE * len(heard)
-                and self.e.workers.reporting() >= c.REPORTING_SHARE)
+        return (
+            sum(heard) >= c.CALM_SHARE * len(heard)
+            and self.e.workers.reporting() >= c.REPORTING_SHARE
+        )
 
     def _suspect(self) -> None:
         """Replicas on a machine that fell silent come back sooner if the machine
@@ -579,13 +654,17 @@
         for name, worker in e.workers.table.items():
             # Silent, or deaf: its reports arrive and our answers do not.
             silent = now - worker.well_at
-            if (worker.report is None or name in self.returning or name in e.workers.gone
-                    or silent < c.SUSPECT_REPORTS * report_s
-                    or not any(e.replica.jobs[j].spec.service
-                               for j in e.replica.by_machine.get(name, ()))):
+            if (
+                worker.report is None
+                or name in self.returning
+                or name in e.workers.gone
+                or silent < c.SUSPECT_REPORTS * report_s
+                or not any(
+                    e.replica.jobs[j].spec.service for j in e.replica.by_machine.get(name, ())
+                )
+            ):
                 continue
-            mute = worker.well_at < worker.mute_at and (
-                now - worker.mute_at < 2 * c.SHOW_EVERY_S)
+            mute = worker.well_at < worker.mute_at and (now - worker.mute_at < 2 * c.SHOW_EVERY_S)
             if sure and mute and silent > c.MUTE_S * report_s:
                 log.warning("%s silent for %.1f s and mute: deleting it", name, silent)
                 self.returning[name] = Returning(now - c.CORDON_S, "mute", True)
@@ -602,16 +681,18 @@
         fetch, and the images asked for lately with the cores of one task."""
         e = self.e
         window = c.HEADROOM_WINDOW_S
-        self.arrivals = {job: row for job, row in self.arrivals.items()
-                         if e.now - row[0] < window}
+        self.arrivals = {job: row for job, row in self.arrivals.items() if e.now - row[0] < window}
         images: dict[str, float] = {}
         cpus = 0.0
         for _, spec in self.arrivals.values():
             kinds = [kind for kind in e.types.values() if placement.type_fits(spec, kind)]
             if not kinds:
                 continue
-            wait = min(kind.boot_s + (spec.image_gb / kind.fetch_gb_per_s
-                                      if kind.fetch_gb_per_s > 0 else 0.0) for kind in kinds)
+            wait = min(
+                kind.boot_s
+                + (spec.image_gb / kind.fetch_gb_per_s if kind.fetch_gb_per_s > 0 else 0.0)
+                for kind in kinds
+            )
             cpus += spec.cpus * spec.tasks * wait / window
             images[spec.image] = max(images.get(spec.image, 0.0), spec.cpus)
         return cpus + max(images.values(), default=0.0), images
@@ -641,15 +722,22 @@
         up = [w for w in e.workers.table.values() if w.report is not None]
         idle = [w for w in up if w.idle_since]
         rooms = e.rooms.table.values()
-        log.info("fleet: %d up, %d booting, %d returning; %d idle: %d just so, %d not paid for, "
-                 "%d not settled, %d kept warm; cores %.0f, free %.0f; warm %.0f of %.0f wanted",
-                 len(up), len(self.booting()), len(self.returning), len(idle),
-                 sum(now - w.idle_since <= e.admin["idle_return_s"] for w in idle),
-                 sum(not self._paid_for(w.id) for w in idle),
-                 sum(not self.empty(w.id) for w in idle),
-                 sum(not warm.spare(w.id, headroom) for w in idle),
-                 sum(room.type.cpus for room in rooms),
-                 sum(max(0.0, room.cpus) for room in rooms), warm.cpus, headroom)
+        log.info(
+            "fleet: %d up, %d booting, %d returning; %d idle: %d just so, %d not paid for, "
+            "%d not settled, %d kept warm; cores %.0f, free %.0f; warm %.0f of %.0f wanted",
+            len(up),
+            len(self.booting()),
+            len(self.returning),
+            len(idle),
+            sum(now - w.idle_since <= e.admin["idle_return_s"] for w in idle),
+            sum(not self._paid_for(w.id) for w in idle),
+            sum(not self.empty(w.id) for w in idle),
+            sum(not warm.spare(w.id, headroom) for w in idle),
+            sum(room.type.cpus for room in rooms),
+            sum(max(0.0, room.cpus) for room in rooms),
+            warm.cpus,
+            headroom,
+        )
 
     def _return(self, demand: list[tuple[Job, int]]) -> None:
         e, now = self.e, self.e.now
@@ -667,29 +755,37 @@
         for name, worker in e.workers.table.items():
             if name in self.returning or worker.report is None or name in e.workers.gone:
                 continue
-            if (worker.cordoned in ("drain", "faulty") and self.empty(name)
-                    and e.pulse.reached(e.replica.owner_of(name))):
+            if (
+                worker.cordoned in ("drain", "faulty")
+                and self.empty(name)
+                and e.pulse.reached(e.replica.owner_of(name))
+            ):
                 self._cordon(name, worker.cordoned)
-            elif (worker.idle_since and now - worker.idle_since > e.admin["idle_return_s"]
-                    and self._paid_for(name)
-                    and worker.cordoned != "operator"
-                    and now - worker.heard_at < 5.0 and self.empty(name)
-                    and e.pulse.reached(e.replica.owner_of(name))
-                    and not self._asked_for(name, queue)
-                    and warm.spare(name, headroom)):
+            elif (
+                worker.idle_since
+                and now - worker.idle_since > e.admin["idle_return_s"]
+                and self._paid_for(name)
+                and worker.cordoned != "operator"
+                and now - worker.heard_at < 5.0
+                and self.empty(name)
+                and e.pulse.reached(e.replica.owner_of(name))
+                and not self._asked_for(name, queue)
+                and warm.spare(name, headroom)
+            ):
                 warm.take(name)
                 self._cordon(name, "idle")
-            elif (now - worker.heard_at > c.SILENT_DELETE_S and calm
-                    and (worker.lapsed >= worker.session
-                         or name not in e.replica.by_machine)):
+            elif (
+                now - worker.heard_at > c.SILENT_DELETE_S
+                and calm
+                and (worker.lapsed >= worker.session or name not in e.replica.by_machine)
+            ):
                 self.returning[name] = Returning(now - c.CORDON_S, "silent", True)
         ready = []
         for name, item in list(self.returning.items()):
             if item.calling or now < item.since + c.CORDON_S:
                 continue
             back = e.workers.table.get(name)
-            if item.why in SILENT and back is not None and (
-                    back.well_at > item.since + c.CORDON_S):
+            if item.why in SILENT and back is not None and (back.well_at > item.since + c.CORDON_S):
                 # Guards against an outage of the cloud: the machine is well again, with
                 # all that runs on it, when the deletion could go out at last.
                 del self.returning[name]
@@ -700,13 +796,14 @@
                 continue
             ready.append(name)
         if ready:
-            self._delete(ready[:c.DELETE_MAX])
+            self._delete(ready[: c.DELETE_MAX])
 
     def _asked_for(self, name: str, queue: list[wire.JobSpec]) -> bool:
         """Could a queued task run there? Steps may only be waiting for their write."""
         room = self.e.rooms.table.get(name)
         return room is not None and any(
-            placement.allowed_on(spec, room) and room.fits(spec) for spec in queue)
+            placement.allowed_on(spec, room) and room.fits(spec) for spec in queue
+        )
 
     def _paid_for(self, name: str) -> bool:
         """Has the least charge been used up? Before, returning saves nothing."""
@@ -737,8 +834,10 @@
                 if item is not None:
                     item.calling = False
             if reply.outcome == "ok":
-                log.info("deleted %s", {name: self.returning[name].why for name in names
-                                        if name in self.returning})
+                log.info(
+                    "deleted %s",
+                    {name: self.returning[name].why for name in names if name in self.returning},
+                )
                 self.deleted(names)
             else:
                 self._trouble()
@@ -784,9 +883,11 @@
         a machine about to be taken, only work goes that can save itself: the rest
         would lose nothing by running on."""
         for name, worker in self.e.workers.table.items():
-            if (worker.cordoned == "idle"
-                    and self.e.now - worker.cordoned_at > c.CORDON_LAPSE_S
-                    and not (self.led_since is not None and name in self.returning)):
+            if (
+                worker.cordoned == "idle"
+                and self.e.now - worker.cordoned_at > c.CORDON_LAPSE_S
+                and not (self.led_since is not None and name in self.returning)
+            ):
                 # Guards against room lost for ever: a leader that ended or was replaced
                 # within that second, or a link that lost the word that it may be used.
                 self._set_cordon(name, "")
@@ -797,16 +898,18 @@
                 job = self.e.replica.jobs[job_id]
                 if worker.cordoned != "drain" and job.spec.checkpoint_s <= 0:
                     continue
-                tasks = {task for attempt in attempts if not attempt.stopping
-                         for task in attempt.tasks}
+                tasks = {
+                    task for attempt in attempts if not attempt.stopping for task in attempt.tasks
+                }
                 if tasks and self.e.owns_job(job):
                     self.e.steps.stop(job_id, name, tasks)
 
     def on_peer(self, message: dict[str, Any]) -> None:
         if message["kind"] == "rented":
             type_, zone, spot = message["type"]
-            self._rented([str(name) for name in message["machines"]],
-                         (str(type_), str(zone), bool(spot)))
+            self._rented(
+                [str(name) for name in message["machines"]], (str(type_), str(zone), bool(spot))
+            )
         elif message["kind"] == "cordon":
             self._set_cordon(str(message["worker"]), str(message["why"]))
 
@@ -816,13 +919,17 @@
         for machine, rental in self.rentals.items():
             kinds.setdefault(rental.kind, []).append(machine)
         for worker in self.e.workers.table.values():
-            if worker.cordoned and (worker.cordoned != "idle" or (
-                    self.led_since is not None and worker.id in self.returning)):
-                self.e.emit(PeerSend({"kind": "cordon", "worker": worker.id,
-                                      "why": worker.cordoned}, name))
+            if worker.cordoned and (
+                worker.cordoned != "idle"
+                or (self.led_since is not None and worker.id in self.returning)
+            ):
+                self.e.emit(
+                    PeerSend({"kind": "cordon", "worker": worker.id, "why": worker.cordoned}, name)
+                )
         for kind, machines in kinds.items():
-            self.e.emit(PeerSend({"kind": "rented", "machines": machines, "type": list(kind)},
-                                 name))
+            self.e.emit(
+                PeerSend({"kind": "rented", "machines": machines, "type": list(kind)}, name)
+            )
 
 
 def _empty(name: str, type_: wire.MachineType, kind: Kind) -> Room:
--- a/appledock/core/intervals.py
+++ b/appledock/core/intervals.py
@@ -32,8 +32,10 @@
         return result
 
     def __str__(self) -> str:
-        return ",".join(str(low) if low == high else f"{low}-{high}"
-                        for low, high in zip(self._lows, self._highs, strict=True))
+        return ",".join(
+            str(low) if low == high else f"{low}-{high}"
+            for low, high in zip(self._lows, self._highs, strict=True)
+        )
 
     def __len__(self) -> int:
         return self.size
--- a/appledock/core/jobs.py
+++ b/appledock/core/jobs.py
@@ -25,7 +25,12 @@
 
     def same(self, other: Attempt) -> bool:
         return (self.machine, self.session, self.number, self.term, self.stopping) == (
-            other.machine, other.session, other.number, other.term, other.stopping)
+            other.machine,
+            other.session,
+            other.number,
+            other.term,
+            other.stopping,
+        )
 
 
 @dataclass(slots=True)
@@ -83,10 +88,21 @@
         return result
 
     def copy(self) -> Job:
-        return Job(self.spec, self.submitted, self.version, self.steps, self.done.copy(),
-                   [Attempt(a.machine, a.session, a.number, a.term, a.stopping, set(a.tasks))
-                    for a in self.attempts],
-                   self.cancelled, self.cancelled_at, self.handoff, self.failures)
+        return Job(
+            self.spec,
+            self.submitted,
+            self.version,
+            self.steps,
+            self.done.copy(),
+            [
+                Attempt(a.machine, a.session, a.number, a.term, a.stopping, set(a.tasks))
+                for a in self.attempts
+            ],
+            self.cancelled,
+            self.cancelled_at,
+            self.handoff,
+            self.failures,
+        )
 
     def deadline(self) -> float:
         """Time of day by which the job should be complete; far away without one."""
@@ -98,21 +114,38 @@
         """The record, in a format that every node of the cluster reads (see `FORMAT` in
         core/membership): 1 is that of the versions before dependencies."""
         record: dict[str, Any] = {
-            "spec": {name: value for name, value in msgspec.structs.asdict(self.spec).items()
-                     if value is not None},
-            "at": round(self.submitted, 3), "steps": self.steps}
+            "spec": {
+                name: value
+                for name, value in msgspec.structs.asdict(self.spec).items()
+                if value is not None
+            },
+            "at": round(self.submitted, 3),
+            "steps": self.steps,
+        }
         if format_ >= 2:
             record.update(compact.pack_done(self.done))
             if self.attempts:
-                record["groups"] = compact.pack([
-                    (a.machine, a.session, a.number, a.term, a.stopping, a.tasks)
-                    for a in self.attempts])
+                record["groups"] = compact.pack(
+                    [
+                        (a.machine, a.session, a.number, a.term, a.stopping, a.tasks)
+                        for a in self.attempts
+                    ]
+                )
         else:
             if self.done:
                 record["done"] = str(self.done)
             if self.attempts:
-                record["open"] = [[a.machine, a.session, a.number, a.term, int(a.stopping),
-                                   str(IntervalSet(sorted(a.tasks)))] for a in self.attempts]
+                record["open"] = [
+                    [
+                        a.machine,
+                        a.session,
+                        a.number,
+                        a.term,
+                        int(a.stopping),
+                        str(IntervalSet(sorted(a.tasks))),
+                    ]
+                    for a in self.attempts
+                ]
         if self.cancelled:
             record["cancelled"] = round(self.cancelled_at, 3) or True
         if self.handoff:
@@ -127,13 +160,21 @@
     handoff = record.get("to")
     cancelled = record.get("cancelled", False)
     return Job(
-        wire.JobSpec(**record["spec"]), float(record["at"]), version, int(record["steps"]),
+        wire.JobSpec(**record["spec"]),
+        float(record["at"]),
+        version,
+        int(record["steps"]),
         compact.unpack_done(record),
-        [Attempt(machine, session, number, term, bool(stopping), set(IntervalSet.parse(tasks)))
-         for machine, session, number, term, stopping, tasks in record.get("open", ())]
+        [
+            Attempt(machine, session, number, term, bool(stopping), set(IntervalSet.parse(tasks)))
+            for machine, session, number, term, stopping, tasks in record.get("open", ())
+        ]
         + [Attempt(*row) for row in compact.unpack(record.get("groups", []))],
-        bool(cancelled), 0.0 if isinstance(cancelled, bool) else float(cancelled),
-        (handoff[0], handoff[1]) if handoff else None, int(record.get("failures", 0)))
+        bool(cancelled),
+        0.0 if isinstance(cancelled, bool) else float(cancelled),
+        (handoff[0], handoff[1]) if handoff else None,
+        int(record.get("failures", 0)),
+    )
 
 
 def split_task(name: str) -> tuple[str, int]:
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -77,13 +77,17 @@
         return self.view.term if self.view else 0
 
     def member(self) -> bool:
-        return (self.joined and self.view is not None
-                and self.view.members.get(self.node) == self.incarnation)
+        return (
+            self.joined
+            and self.view is not None
+            and self.view.members.get(self.node) == self.incarnation
+        )
 
     def authority(self) -> bool:
         """May this controller act for the controllers right now?"""
-        return (self.member()
-                and self.e.now < min(self.touch_sent, self.view_sent) + self.lease_local_s)
+        return (
+            self.member() and self.e.now < min(self.touch_sent, self.view_sent) + self.lease_local_s
+        )
 
     def acting(self) -> bool:
         """Authority, and a picture that is complete up to the view."""
@@ -103,8 +107,10 @@
         """What every scheduling write is conditional on: a fenced or outvoted
         controller's writes fail by themselves."""
         assert self.view is not None
-        return {VIEW: self.view.version,
-                MEMBERS + self.node: self.e.replica.members[self.node].version}
+        return {
+            VIEW: self.view.version,
+            MEMBERS + self.node: self.e.replica.members[self.node].version,
+        }
 
     # --- timers -----------------------------------------------------------
     def tick(self) -> None:
@@ -125,24 +131,36 @@
         on for ever: every node of the cluster, not just every member of the view, must
         have been seen with it at the same moment. A node that is down may come back old."""
         replica = self.e.replica
-        if (replica.format[1] >= NEWEST_FORMAT or self.raising or self.e.now < self.next_raise
-                or not self.leader() or len(replica.members) < self.e.settings.cluster.size
-                or any(member.format < NEWEST_FORMAT for member in replica.members.values())):
+        if (
+            replica.format[1] >= NEWEST_FORMAT
+            or self.raising
+            or self.e.now < self.next_raise
+            or not self.leader()
+            or len(replica.members) < self.e.settings.cluster.size
+            or any(member.format < NEWEST_FORMAT for member in replica.members.values())
+        ):
             return
         self.raising = True
         # Conditional on every member's key: together they prove that moment.
-        plan = TxnPlan({**self.conditions(), FORMAT: replica.format[0],
-                        **{MEMBERS + node: member.version
-                           for node, member in replica.members.items()}},
-                       [Put(FORMAT, {"format": NEWEST_FORMAT})])
+        plan = TxnPlan(
+            {
+                **self.conditions(),
+                FORMAT: replica.format[0],
+                **{MEMBERS + node: member.version for node, member in replica.members.items()},
+            },
+            [Put(FORMAT, {"format": NEWEST_FORMAT})],
+        )
 
         def done(reply: StoreReply) -> None:
             self.raising = False
             self.next_raise = self.e.now + c.TOUCH_RETRY_S
             if reply.outcome == "ok":
                 replica.put(FORMAT, {"format": NEWEST_FORMAT}, reply.data.revision)
-                log.info("all %d nodes read records of format %d: it is in use from now on",
-                         len(replica.members), NEWEST_FORMAT)
+                log.info(
+                    "all %d nodes read records of format %d: it is in use from now on",
+                    len(replica.members),
+                    NEWEST_FORMAT,
+                )
             elif reply.outcome == "conflict":
                 self.e.read_keys(reply.data.failed)
 
@@ -174,6 +192,7 @@
         Several controllers starting at once conflict here; each conflict is one
         controller's success, so reading again ends after a few rounds.
         """
+
         def read(reply: StoreReply) -> None:
             if reply.outcome not in ("ok", "missing"):
                 self._retry_join()
@@ -189,8 +208,7 @@
             old = reply.data if reply.outcome == "ok" else None
             if old is None:
                 self.e.replica.members.pop(self.node, None)
-            self._commit_join(old.version if old else 0,
-                              old.value.get("lease") if old else None)
+            self._commit_join(old.version if old else 0, old.value.get("lease") if old else None)
 
         self.e.store("get", (VIEW,), Priority.LEASE, read)
 
@@ -205,8 +223,10 @@
         new = self._next_view(members)
         lease = self.lease
         value = {"incarnation": self.incarnation, "lease": lease, "format": NEWEST_FORMAT}
-        plan = TxnPlan({MEMBERS + self.node: old_version, VIEW: view.version if view else 0},
-                       [Put(MEMBERS + self.node, value, lease), Put(VIEW, new.encode())])
+        plan = TxnPlan(
+            {MEMBERS + self.node: old_version, VIEW: view.version if view else 0},
+            [Put(MEMBERS + self.node, value, lease), Put(VIEW, new.encode())],
+        )
         sent = self.e.now
 
         def done(reply: StoreReply) -> None:
@@ -218,8 +238,13 @@
                 self.view_sent = sent
                 self.next_touch = self.e.now + c.TOUCH_EVERY_S / 2
                 self.e.replica.put(VIEW, new.encode(), revision)
-                log.info("joined as %s, term %d, leader %s, members %s", self.incarnation,
-                         new.term, new.leader, sorted(new.members))
+                log.info(
+                    "joined as %s, term %d, leader %s, members %s",
+                    self.incarnation,
+                    new.term,
+                    new.leader,
+                    sorted(new.members),
+                )
                 if old_lease is not None and old_lease != lease:
                     self.e.store("revoke", (old_lease,), Priority.VIEW, lambda _: None)
             elif reply.outcome == "conflict":
@@ -283,32 +308,45 @@
     # --- views ------------------------------------------------------------
     def _next_view(self, members: dict[str, str]) -> View:
         old = self.view
-        detached = {node: incarnation for node, incarnation in
-                    (old.detached if old else {}).items() if members.get(node) == incarnation}
-        detached.update((node, members[node]) for node in sorted(self.want_detached)
-                        if node in members)
+        detached = {
+            node: incarnation
+            for node, incarnation in (old.detached if old else {}).items()
+            if members.get(node) == incarnation
+        }
+        detached.update(
+            (node, members[node]) for node in sorted(self.want_detached) if node in members
+        )
         if self.want_attached:
             detached.pop(self.node, None)
         if len(detached) == len(members):
             # Nobody would own anything: then it is the workers that are cut off.
             detached.clear()
-        leader = old.leader if old and members.get(old.leader) == old.members.get(
-            old.leader) and old.leader in members and not self.want_lead else self.node
+        leader = (
+            old.leader
+            if old
+            and members.get(old.leader) == old.members.get(old.leader)
+            and old.leader in members
+            and not self.want_lead
+            else self.node
+        )
         if leader in detached and self.node not in detached:
             leader = self.node
         overrides = {}
         if old:
-            overrides = {worker: to for worker, to in old.overrides.items()
-                         if members.get(to[0]) == to[1] and to[0] not in detached}
+            overrides = {
+                worker: to
+                for worker, to in old.overrides.items()
+                if members.get(to[0]) == to[1] and to[0] not in detached
+            }
         for worker, node in self.want_override.items():
             if node in members:
                 overrides[worker] = [node, members[node]]
-        overrides = dict(sorted(overrides.items())[:c.OVERRIDES_MAX])
+        overrides = dict(sorted(overrides.items())[: c.OVERRIDES_MAX])
         view = View((old.term if old else 0) + 1, members, leader, overrides, detached)
         while view.overrides and len(wire.encode(view.encode())) > self.e.value_bytes:
             # A worker without its override goes round once more; a view that the state
             # service refuses as too large would leave the cluster without one.
-            view.overrides = dict(sorted(view.overrides.items())[:len(view.overrides) // 2])
+            view.overrides = dict(sorted(view.overrides.items())[: len(view.overrides) // 2])
         return view
 
     def _check_view(self) -> None:
@@ -324,13 +362,17 @@
             self.leader_seen = now
         self.want_lead = now - self.leader_seen > c.LEADER_LOST_S
         wanted = self.want_term or self.want_override or self.want_lead or self.want_attached
-        if not differs and not self.want_detached and not (
-                wanted and now >= self.term_at + c.TERM_BUMP_EVERY_S):
+        if (
+            not differs
+            and not self.want_detached
+            and not (wanted and now >= self.term_at + c.TERM_BUMP_EVERY_S)
+        ):
             self.next_view = 0.0
             return
         if not self.next_view:
-            wait = 0.0 if view.leader == self.node else c.VIEW_JITTER_S * (
-                0.3 + self.e.rng.random())
+            wait = (
+                0.0 if view.leader == self.node else c.VIEW_JITTER_S * (0.3 + self.e.rng.random())
+            )
             self.next_view = now + wait
         if now < self.next_view:
             return
@@ -348,8 +390,9 @@
             if reply.outcome == "ok":
                 self.view_sent = max(self.view_sent, sent)
                 self.e.replica.put(VIEW, new.encode(), reply.data.revision)
-                log.info("view %d: members %s, leader %s", new.term, sorted(new.members),
-                         new.leader)
+                log.info(
+                    "view %d: members %s, leader %s", new.term, sorted(new.members), new.leader
+                )
             elif reply.outcome == "conflict":
                 self.e.read_keys(reply.data.failed)
             else:
--- a/appledock/core/placement.py
+++ b/appledock/core/placement.py
@@ -30,14 +30,20 @@
     taken: dict[str, int] = field(default_factory=dict)
 
     def fits(self, spec: wire.JobSpec) -> bool:
-        return (self.cpus + c.EPSILON >= spec.cpus and self.gpus + c.EPSILON >= spec.gpus
-                and self.memory_gb + c.EPSILON >= spec.memory_gb)
+        return (
+            self.cpus + c.EPSILON >= spec.cpus
+            and self.gpus + c.EPSILON >= spec.gpus
+            and self.memory_gb + c.EPSILON >= spec.memory_gb
+        )
 
     def count(self, spec: wire.JobSpec) -> int:
         """How many tasks of this size fit."""
         count = 100_000
-        for free, size in ((self.cpus, spec.cpus), (self.gpus, spec.gpus),
-                           (self.memory_gb, spec.memory_gb)):
+        for free, size in (
+            (self.cpus, spec.cpus),
+            (self.gpus, spec.gpus),
+            (self.memory_gb, spec.memory_gb),
+        ):
             if size > 0:
                 count = int(min(count, (free + c.EPSILON) / size))
         return max(0, count)
@@ -50,17 +56,22 @@
 
 def type_fits(spec: wire.JobSpec, kind: wire.MachineType) -> bool:
     """May and can a task of the job run on an empty machine of this type?"""
-    return ((spec.types is None or kind.name in spec.types)
-            and (bool(kind.zones) if spec.zone is None else spec.zone in kind.zones)
-            and kind.cpus + c.EPSILON >= spec.cpus and kind.gpus + c.EPSILON >= spec.gpus
-            and kind.memory_gb + c.EPSILON >= spec.memory_gb)
+    return (
+        (spec.types is None or kind.name in spec.types)
+        and (bool(kind.zones) if spec.zone is None else spec.zone in kind.zones)
+        and kind.cpus + c.EPSILON >= spec.cpus
+        and kind.gpus + c.EPSILON >= spec.gpus
+        and kind.memory_gb + c.EPSILON >= spec.memory_gb
+    )
 
 
 def allowed_on(spec: wire.JobSpec, room: Room) -> bool:
     """Do type, zone and kind (spot or ordinary) admit the job, whatever is free?"""
-    return ((spec.types is None or room.type.name in spec.types)
-            and (spec.zone is None or spec.zone == room.zone)
-            and (spec.spot or not room.spot))
+    return (
+        (spec.types is None or room.type.name in spec.types)
+        and (spec.zone is None or spec.zone == room.zone)
+        and (spec.spot or not room.spot)
+    )
 
 
 def zone_cap(spec: wire.JobSpec) -> int:
@@ -71,7 +82,8 @@
 def zone_open(spec: wire.JobSpec, zone: str, zones: dict[str, int]) -> bool:
     """Do the job's unsettled tasks (`zones` counts them) leave the zone open to one more?"""
     return zones.get(zone, 0) < zone_cap(spec) and not (
-        spec.one_zone and not zones.get(zone) and any(zones.values()))
+        spec.one_zone and not zones.get(zone) and any(zones.values())
+    )
 
 
 def room_for(spec: wire.JobSpec, rooms: Iterable[Room], zones: dict[str, int]) -> int:
@@ -109,8 +121,9 @@
     return (float(room.strikes > 0), round(fetch_s(spec, room), 3), misplaced, round(left, 6))
 
 
-def pick(spec: wire.JobSpec, rooms: list[Room], rng: random.Random,
-         sample: int = c.SAMPLE) -> Room | None:
+def pick(
+    spec: wire.JobSpec, rooms: list[Room], rng: random.Random, sample: int = c.SAMPLE
+) -> Room | None:
     """Best fit among `sample` machines with room, drawn at random."""
     if not rooms:
         return None
@@ -118,9 +131,15 @@
     return min(drawn, key=lambda room: (score(spec, room), room.machine))
 
 
-def place(spec: wire.JobSpec, tasks: int, rooms: Iterable[Room], rng: random.Random,
-          zones: dict[str, int], whole: bool = False, sample: int = c.SAMPLE
-          ) -> list[tuple[Room, int]]:
+def place(
+    spec: wire.JobSpec,
+    tasks: int,
+    rooms: Iterable[Room],
+    rng: random.Random,
+    zones: dict[str, int],
+    whole: bool = False,
+    sample: int = c.SAMPLE,
+) -> list[tuple[Room, int]]:
     """Up to `tasks` tasks on the rooms, which are charged; [(room, count), ...].
 
     `zones` counts the job's unsettled tasks by zone. `whole`: all or none.
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -54,8 +54,9 @@
     until: float
 
 
-def choose(spec: wire.JobSpec, room: Room, victims: list[Victim],
-           short: quota.Amounts = NOTHING) -> list[Victim] | None:
+def choose(
+    spec: wire.JobSpec, room: Room, victims: list[Victim], short: quota.Amounts = NOTHING
+) -> list[Victim] | None:
     """The cheapest victims, cheapest first, that make room for one task and free
     `short` of their team's limit; None if even all of them do not."""
     cpus, gpus, memory = room.cpus, room.gpus, room.memory_gb
@@ -68,15 +69,17 @@
         cpus += victim.job.spec.cpus
         gpus += victim.job.spec.gpus
         memory += victim.job.spec.memory_gb
-        freed = quota.Amounts(freed.cpus + victim.job.spec.cpus,
-                              freed.gpus + victim.job.spec.gpus)
+        freed = quota.Amounts(freed.cpus + victim.job.spec.cpus, freed.gpus + victim.job.spec.gpus)
     good = _enough(spec, cpus, gpus, memory) and short.fits(freed)
     return chosen if good and chosen else None
 
 
 def _enough(spec: wire.JobSpec, cpus: float, gpus: float, memory: float) -> bool:
-    return (cpus + c.EPSILON >= spec.cpus and gpus + c.EPSILON >= spec.gpus
-            and memory + c.EPSILON >= spec.memory_gb)
+    return (
+        cpus + c.EPSILON >= spec.cpus
+        and gpus + c.EPSILON >= spec.gpus
+        and memory + c.EPSILON >= spec.memory_gb
+    )
 
 
 class Preemption:
@@ -99,8 +102,9 @@
                 self.claims[job_id] = left
             else:
                 del self.claims[job_id]
-        self.claimed = {claim.machine: job_id for job_id, claims in self.claims.items()
-                        for claim in claims}
+        self.claimed = {
+            claim.machine: job_id for job_id, claims in self.claims.items() for claim in claims
+        }
 
     def free_for(self, machine: str, job: Job) -> bool:
         """Is the machine not being cleared for another job?"""
@@ -159,12 +163,16 @@
             names = set(held if len(held) <= half else self.e.rng.sample(held, half))
             rest = self.e.rng.sample(rooms, c.CLEAR_SAMPLE - len(names))
             rooms = [self.e.rooms.table[name] for name in sorted(names)] + [
-                room for room in rest if room.machine not in names]
+                room for room in rest if room.machine not in names
+            ]
         for room in rooms:
-            if (not placement.allowed_on(spec, room) or zones.get(room.zone, 0) >= cap
-                    or (spec.one_zone and used and room.zone not in used)
-                    or not self.free_for(room.machine, job)
-                    or any(x.machine == room.machine for x in self.claims.get(job.id, ()))):
+            if (
+                not placement.allowed_on(spec, room)
+                or zones.get(room.zone, 0) >= cap
+                or (spec.one_zone and used and room.zone not in used)
+                or not self.free_for(room.machine, job)
+                or any(x.machine == room.machine for x in self.claims.get(job.id, ()))
+            ):
                 continue
             victims = self.victims(job, room)
             if within_team:
@@ -172,7 +180,8 @@
             chosen = choose(spec, room, victims, short)
             if chosen is not None:
                 cost = placement.fetch_s(spec, room) + self.e.admin["lost_work_weight"] * sum(
-                    victim.lost for victim in chosen) / max(spec.cpus, 0.1)
+                    victim.lost for victim in chosen
+                ) / max(spec.cpus, 0.1)
                 result.append(Option(cost, room, chosen))
         return sorted(result, key=lambda option: (option.cost, option.room.machine))
 
@@ -182,8 +191,9 @@
         held = self.e.quota.held_in_all(job.spec.team)
         return (held + quota.need(job.spec, 1) - quota.limit(limits)).most(NOTHING)
 
-    def make_room(self, job: Job, count: int, zones: dict[str, int],
-                  within_team: bool = False) -> str | None:
+    def make_room(
+        self, job: Job, count: int, zones: dict[str, int], within_team: bool = False
+    ) -> str | None:
         """Clear machines of ours for up to `count` tasks; else name the controller
         whose machines could be cleared. `within_team`: the team's limit is what
         lacks, so only its own work makes way."""
@@ -210,9 +220,12 @@
         free: tuple[float, bool, str, str] | None = None
         own = math.inf
         for room in rooms:
-            if (room.fits(spec) and placement.allowed_on(spec, room)
-                    and placement.zone_open(spec, room.zone, zones)
-                    and self.free_for(room.machine, job)):
+            if (
+                room.fits(spec)
+                and placement.allowed_on(spec, room)
+                and placement.zone_open(spec, room.zone, zones)
+                and self.free_for(room.machine, job)
+            ):
                 wait, foreign = placement.fetch_s(spec, room), room.owner != me
                 if not foreign:
                     own = min(own, wait)
@@ -221,8 +234,7 @@
                     free = row
         if free is None or free[0] > c.PREEMPT_MARGIN_S:
             options = self._options(job, zones, False)
-            if options and (free is None
-                            or options[0].cost + c.PREEMPT_MARGIN_S < free[0]):
+            if options and (free is None or options[0].cost + c.PREEMPT_MARGIN_S < free[0]):
                 option = options[0]
                 if option.room.owner != me:
                     return option.room.owner
@@ -234,8 +246,12 @@
 
     def _clear(self, job: Job, option: Option) -> None:
         machine = option.room.machine
-        log.info("%s clears %s of %s", job.id, machine,
-                 [f"{victim.job.id}/{victim.task}" for victim in option.victims])
+        log.info(
+            "%s clears %s of %s",
+            job.id,
+            machine,
+            [f"{victim.job.id}/{victim.task}" for victim in option.victims],
+        )
         self.claims.setdefault(job.id, []).append(Claim(machine, self.e.now + c.CLAIM_S))
         self.claimed[machine] = job.id
         for victim in option.victims:
@@ -246,5 +262,14 @@
         if owner == self.e.settings.name:
             self.e.steps.stop(victim.job.id, machine, {victim.task})
         else:
-            self.e.emit(PeerSend({"kind": "stop", "job": victim.job.id, "machine": machine,
-                                  "tasks": [victim.task]}, owner))
+            self.e.emit(
+                PeerSend(
+                    {
+                        "kind": "stop",
+                        "job": victim.job.id,
+                        "machine": machine,
+                        "tasks": [victim.task],
+                    },
+                    owner,
+                )
+            )
--- a/appledock/core/pulse.py
+++ b/appledock/core/pulse.py
@@ -41,37 +41,45 @@
         if self.e.now >= self.next_at:
             self.next_at = self.e.now + c.PULSE_EVERY_S
             since = self.e.now - self.e.membership.served_at
-            self.e.emit(PeerSend({"kind": "pulse", "node": self.e.settings.name,
-                                  "served_s": round(min(since, 1e6), 3),
-                                  "writes": round(self.e.budget.spent, 2),
-                                  "reporting": round(self.e.workers.reporting(), 3),
-                                  "vain": self.e.workers.in_vain(),
-                                  "pressed": self.e.steps.pressed()}))
+            self.e.emit(
+                PeerSend(
+                    {
+                        "kind": "pulse",
+                        "node": self.e.settings.name,
+                        "served_s": round(min(since, 1e6), 3),
+                        "writes": round(self.e.budget.spent, 2),
+                        "reporting": round(self.e.workers.reporting(), 3),
+                        "vain": self.e.workers.in_vain(),
+                        "pressed": self.e.steps.pressed(),
+                    }
+                )
+            )
             if self.heard:
                 self.e.budget.others_spend(
                     sum(rate for peer, rate in self.writes.items() if self.reached(peer)),
-                    self.e.settings.cluster.state.write_rps * c.BUDGET_SHARE)
+                    self.e.settings.cluster.state.write_rps * c.BUDGET_SHARE,
+                )
 
     def on_peer(self, message: dict[str, Any]) -> None:
-        self.heard[str(message["node"])] = (
-            self.e.now, self.e.now - float(message["served_s"]))
+        self.heard[str(message["node"])] = (self.e.now, self.e.now - float(message["served_s"]))
         self.writes[str(message["node"])] = float(message.get("writes", 0.0))
         self.reporting[str(message["node"])] = float(message.get("reporting", 1.0))
         self.pressed[str(message["node"])] = bool(message.get("pressed", False))
         self.vain[str(message["node"])] = {
-            str(owner): int(count) for owner, count in message.get("vain", {}).items()}
+            str(owner): int(count) for owner, count in message.get("vain", {}).items()
+        }
 
     def reached(self, node: str) -> bool:
         """Do messages of this controller arrive here?"""
         return node == self.e.settings.name or (
-            self.e.now - self.heard.get(node, (-1e9, 0.0))[0] < c.PULSE_LOST_S)
+            self.e.now - self.heard.get(node, (-1e9, 0.0))[0] < c.PULSE_LOST_S
+        )
 
     def works(self, node: str) -> bool:
         """Does it, as far as it says, reach the state service?"""
         if node == self.e.settings.name:
             return self.e.membership.acting()
-        return self.reached(node) and (
-            self.e.now - self.heard[node][1] < c.PULSE_SERVED_S)
+        return self.reached(node) and (self.e.now - self.heard[node][1] < c.PULSE_SERVED_S)
 
     def hears_workers(self, node: str) -> bool:
         """Does it, as far as it says, hear most of its workers?"""
@@ -79,8 +87,7 @@
 
     def vain_elsewhere(self, owner: str) -> int:
         """Workers that waited for the owner in vain and then came to a peer of ours."""
-        return sum(counts.get(owner, 0) for peer, counts in self.vain.items()
-                   if self.reached(peer))
+        return sum(counts.get(owner, 0) for peer, counts in self.vain.items() if self.reached(peer))
 
     def others_pressed(self) -> bool:
         """Do services of another controller wait for the writes that we all share?"""
@@ -88,8 +95,9 @@
 
     def vain_at(self, owner: str) -> str | None:
         """The peer to which most of those workers came."""
-        counts = {peer: counts.get(owner, 0) for peer, counts in self.vain.items()
-                  if self.reached(peer)}
+        counts = {
+            peer: counts.get(owner, 0) for peer, counts in self.vain.items() if self.reached(peer)
+        }
         peer = max(sorted(counts), key=counts.__getitem__, default=None)
         return peer if peer is not None and counts[peer] else None
 
@@ -100,8 +108,9 @@
             return False
         reached = [peer for peer in peers if self.reached(peer)]
         # In an outage, the others were last served at about the same time.
-        return not reached or any(self.heard[peer][1] - served > c.SERVED_LATER_S
-                                  for peer in reached)
+        return not reached or any(
+            self.heard[peer][1] - served > c.SERVED_LATER_S for peer in reached
+        )
 
     def shut_out(self) -> bool:
         """Are we the only ones that the state service does not serve? True as well
@@ -114,6 +123,9 @@
         view = self.e.replica.view
         if view is None or self.works(view.leader):
             return False
-        others = [peer.name for peer in self.e.settings.peers
-                  if peer.name != view.leader and peer.name in view.members]
+        others = [
+            peer.name
+            for peer in self.e.settings.peers
+            if peer.name != view.leader and peer.name in view.members
+        ]
         return self.reached(view.leader) or any(self.works(peer) for peer in others)
--- a/appledock/core/quota.py
+++ b/appledock/core/quota.py
@@ -100,8 +100,9 @@
     return result
 
 
-def walk(limits: Amounts, shares: Shares, held: Shares, me: str,
-         queue: list[tuple[str, str, Amounts]]) -> tuple[Shares, Amounts]:
+def walk(
+    limits: Amounts, shares: Shares, held: Shares, me: str, queue: list[tuple[str, str, Amounts]]
+) -> tuple[Shares, Amounts]:
     """Decide a team's limit as one class: who of its queue may grow now.
 
     `queue` holds job, owner and need, the most urgent first. Returns what each
@@ -109,8 +110,9 @@
     lack: their owners cannot take it by themselves.
     """
     pool = (limits - total(shares)).most(NOTHING)
-    unused = {node: (share - held.get(node, NOTHING)).most(NOTHING)
-              for node, share in shares.items()}
+    unused = {
+        node: (share - held.get(node, NOTHING)).most(NOTHING) for node, share in shares.items()
+    }
     allowed: Shares = {}
     release = NOTHING
     for job, owner, wish in queue:
@@ -221,12 +223,13 @@
                 return {}, NOTHING
             jobs = [replica.jobs[j] for j in replica.by_team.get(name, set()) & replica.queued]
             # A job that fails everywhere keeps nothing from the others.
-            jobs.sort(key=lambda job: (job.failures >= c.FAILING, self.e.steps.urgency(job),
-                                       job.id))
-            queue = [(job.id, replica.job_owner(job), need(job.spec, job.queued))
-                     for job in jobs]
-            entry = walk(limit(limits), self.shares(name), self.held(name),
-                         self.e.settings.name, queue)
+            jobs.sort(
+                key=lambda job: (job.failures >= c.FAILING, self.e.steps.urgency(job), job.id)
+            )
+            queue = [(job.id, replica.job_owner(job), need(job.spec, job.queued)) for job in jobs]
+            entry = walk(
+                limit(limits), self.shares(name), self.held(name), self.e.settings.name, queue
+            )
             self.allowed_cache[name] = entry
         return entry
 
@@ -259,8 +262,7 @@
         assert view is not None
         team, shares = self.e.replica.team(name), self.shares(name)
         mine = (self.held(name).get(me, NOTHING) - self.holds(job)).most(NOTHING)
-        if team.term == view.term and not passes and (mine + after).fits(
-                shares.get(me, NOTHING)):
+        if team.term == view.term and not passes and (mine + after).fits(shares.get(me, NOTHING)):
             return True, None
         if name in self.writing:
             return False, None
@@ -286,13 +288,12 @@
         view = self.e.replica.view
         assert view is not None
         shares, me = self.shares(name), self.e.settings.name
-        shares[me] = (shares.get(me, NOTHING) - amount).most(
-            self.held(name).get(me, NOTHING))
-        return Team(self.e.replica.team(name).version, view.term,
-                    _plain(shares, view.members))
+        shares[me] = (shares.get(me, NOTHING) - amount).most(self.held(name).get(me, NOTHING))
+        return Team(self.e.replica.team(name).version, view.term, _plain(shares, view.members))
 
-    def begin(self, job: Job | None, new: Job | None, name: str,
-              record: Team | None) -> Callable[[str], None]:
+    def begin(
+        self, job: Job | None, new: Job | None, name: str, record: Team | None
+    ) -> Callable[[str], None]:
         """Note a write under way; the result must be called with its outcome."""
         version = job.version if job is not None else 0
         earlier = self.pending.get(job.id) if job is not None else None
@@ -332,5 +333,8 @@
 
 
 def _plain(shares: Shares, members: dict[str, str]) -> dict[str, tuple[float, float]]:
-    return {node: (share.cpus, share.gpus) for node, share in shares.items()
-            if node in members and share.some()}
+    return {
+        node: (share.cpus, share.gpus)
+        for node, share in shares.items()
+        if node in members and share.some()
+    }
--- a/appledock/core/replica.py
+++ b/appledock/core/replica.py
@@ -46,13 +46,21 @@
     version: int = 0
 
     def encode(self) -> dict[str, Any]:
-        return {"term": self.term, "members": self.members, "leader": self.leader,
-                "overrides": self.overrides, "detached": self.detached}
+        return {
+            "term": self.term,
+            "members": self.members,
+            "leader": self.leader,
+            "overrides": self.overrides,
+            "detached": self.detached,
+        }
 
     def attached(self) -> list[str]:
         """The members that own workers and jobs; all, if none could."""
-        return [node for node, incarnation in self.members.items()
-                if self.detached.get(node) != incarnation] or list(self.members)
+        return [
+            node
+            for node, incarnation in self.members.items()
+            if self.detached.get(node) != incarnation
+        ] or list(self.members)
 
     def owner_of(self, name: str) -> str:
         """Owner of a worker (or, without hand-off, of a job)."""
@@ -63,8 +71,10 @@
 
     def derived_owner(self, name: str) -> str:
         """Rendezvous hash: losing a member moves only what that member owned."""
-        return max(self.attached(), key=lambda node: hashlib.blake2b(
-            f"{node} {name}".encode(), digest_size=8).digest())
+        return max(
+            self.attached(),
+            key=lambda node: hashlib.blake2b(f"{node} {name}".encode(), digest_size=8).digest(),
+        )
 
 
 @dataclass(slots=True)
@@ -86,8 +96,12 @@
     """node -> cores and cards that the jobs it owns may hold"""
 
     def encode(self) -> dict[str, Any]:
-        return {"term": self.term, "shares": {
-            node: [round(cpus, 6), round(gpus, 6)] for node, (cpus, gpus) in self.shares.items()}}
+        return {
+            "term": self.term,
+            "shares": {
+                node: [round(cpus, 6), round(gpus, 6)] for node, (cpus, gpus) in self.shares.items()
+            },
+        }
 
 
 class Replica:
@@ -154,13 +168,13 @@
     def _version(self, key: str) -> int:
         known = self.marks.get(key, 0)
         if key.startswith(JOBS):
-            job = self.jobs.get(key[len(JOBS):])
+            job = self.jobs.get(key[len(JOBS) :])
             return max(known, job.version if job else 0)
         if key.startswith(TEAMS):
-            team = self.teams.get(key[len(TEAMS):])
+            team = self.teams.get(key[len(TEAMS) :])
             return max(known, team.version if team else 0)
         if key.startswith(MEMBERS):
-            member = self.members.get(key[len(MEMBERS):])
+            member = self.members.get(key[len(MEMBERS) :])
             return max(known, member.version if member else 0)
         if key == VIEW:
             return max(known, self.view.version if self.view else 0)
@@ -185,21 +199,31 @@
         if key.startswith(JOBS):
             self._set_job(decode(value, version))
         elif key.startswith(FINAL):
-            self.add_final(key[len(FINAL):], value["state"])
+            self.add_final(key[len(FINAL) :], value["state"])
         elif key.startswith(TEAMS):
             # A record of another form is shared out anew: its term is no view's.
-            self.teams[key[len(TEAMS):]] = Team(
-                version, int(value.get("term", 0)),
-                {node: (float(share[0]), float(share[1]))
-                 for node, share in value.get("shares", {}).items()})
+            self.teams[key[len(TEAMS) :]] = Team(
+                version,
+                int(value.get("term", 0)),
+                {
+                    node: (float(share[0]), float(share[1]))
+                    for node, share in value.get("shares", {}).items()
+                },
+            )
         elif key.startswith(MEMBERS):
-            self.members[key[len(MEMBERS):]] = Member(
-                value["incarnation"], value["lease"], version, int(value.get("format", 1)))
+            self.members[key[len(MEMBERS) :]] = Member(
+                value["incarnation"], value["lease"], version, int(value.get("format", 1))
+            )
             self.members_changed = True
         elif key == VIEW:
-            self.view = View(int(value["term"]), dict(value["members"]), value["leader"],
-                             dict(value.get("overrides", {})),
-                             dict(value.get("detached", {})), version)
+            self.view = View(
+                int(value["term"]),
+                dict(value["members"]),
+                value["leader"],
+                dict(value.get("overrides", {})),
+                dict(value.get("detached", {})),
+                version,
+            )
             self._owners.clear()
             self.view_changed = True
         elif key == CATALOGUE:
@@ -216,11 +240,11 @@
             return
         self.marks[key] = version
         if key.startswith(JOBS):
-            self._forget_job(key[len(JOBS):])
+            self._forget_job(key[len(JOBS) :])
         elif key.startswith(TEAMS):
-            self.teams[key[len(TEAMS):]] = Team()
+            self.teams[key[len(TEAMS) :]] = Team()
         elif key.startswith(MEMBERS):
-            self.members.pop(key[len(MEMBERS):], None)
+            self.members.pop(key[len(MEMBERS) :], None)
             self.members_changed = True
         elif key == SETTINGS:
             self.settings = (0, {})
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -81,8 +81,9 @@
         if self.e.replica.withdrawn(job_id):
             return wire.JobState(job_id, wire.CANCELLED, len(job.done), 0)
         running = self.e.running(job)
-        return wire.JobState(job_id, wire.RUNNING if running else wire.PENDING,
-                             len(job.done), running)
+        return wire.JobState(
+            job_id, wire.RUNNING if running else wire.PENDING, len(job.done), running
+        )
 
     def _admit(self, ask: int) -> bool:
         """Bounded: beyond the bound users are refused at once."""
@@ -191,8 +192,11 @@
 
         # The open record first: read the other way round, a job that ends in between
         # shows in neither.
-        self.e.read_keys([JOBS + unread[0], FINAL + unread[0]], read,
-                         lambda: self.refuse(asked.ask, "state service does not answer"))
+        self.e.read_keys(
+            [JOBS + unread[0], FINAL + unread[0]],
+            read,
+            lambda: self.refuse(asked.ask, "state service does not answer"),
+        )
 
     def _accepted(self, job_id: str) -> bool:
         return job_id in self.e.replica.jobs or job_id in self.e.replica.finals
@@ -220,22 +224,34 @@
         assert spec is not None
         job = Job(spec, self.e.wall)
         member, view = self.e.membership, self.e.replica.view
-        if member.acting() and view is not None and not self.e.pulse.works(
-                view.owner_of(spec.id)):
+        if member.acting() and view is not None and not self.e.pulse.works(view.owner_of(spec.id)):
             # Its owner would not see it before its lease is over: it is ours.
             job.handoff = (member.node, member.incarnation)
-        plan = TxnPlan({JOBS + spec.id: 0, FINAL + spec.id: 0},
-                       [Put(JOBS + spec.id, self.e.record(job))])
+        plan = TxnPlan(
+            {JOBS + spec.id: 0, FINAL + spec.id: 0}, [Put(JOBS + spec.id, self.e.record(job))]
+        )
 
         def done(reply: StoreReply) -> None:
             if reply.outcome == "ok":
                 job.version = reply.data.revision
                 self.e.replica.set_job(job)
                 self.e.queue_dirty = True
-                log.info("%s accepted: %s of %s, %d tasks, %s", spec.id, spec.job_class, spec.team,
-                         spec.tasks, spec.image)
-                self.answer(asked.ask, 201, wire.JobState(spec.id, (
-                    wire.CANCELLED if self.e.replica.withdrawn(spec.id) else wire.PENDING)))
+                log.info(
+                    "%s accepted: %s of %s, %d tasks, %s",
+                    spec.id,
+                    spec.job_class,
+                    spec.team,
+                    spec.tasks,
+                    spec.image,
+                )
+                self.answer(
+                    asked.ask,
+                    201,
+                    wire.JobState(
+                        spec.id,
+                        (wire.CANCELLED if self.e.replica.withdrawn(spec.id) else wire.PENDING),
+                    ),
+                )
             elif reply.outcome == "conflict":
                 self._read(asked)
             elif reply.outcome == "invalid":
@@ -304,16 +320,16 @@
             self.proving = False
             if reply.outcome == "ok":
                 for asked in batch:
-                    self._tell_proven(asked, FINAL + asked.job in conditions,
-                                      reply.data.revision)
+                    self._tell_proven(asked, FINAL + asked.job in conditions, reply.data.revision)
             elif reply.outcome == "conflict":
                 failed = set(reply.data.failed)
                 for asked in batch:
                     if JOBS + asked.job in failed or FINAL + asked.job in failed:
                         self._read(asked)
                     else:
-                        self._tell_proven(asked, FINAL + asked.job in conditions,
-                                          reply.data.revision)
+                        self._tell_proven(
+                            asked, FINAL + asked.job in conditions, reply.data.revision
+                        )
             else:
                 for asked in batch:
                     self.refuse(asked.ask, "state service does not answer")
@@ -328,14 +344,18 @@
 
     def _read(self, asked: Asked) -> None:
         """The cached version was old: read both keys, then answer."""
+
         def read() -> None:
             if asked.job in self.e.replica.needs.waiting:
                 self._poll(asked)  # the proof tells how far the picture must reach
             else:
                 self._tell(asked, True)
 
-        self.e.read_keys([JOBS + asked.job, FINAL + asked.job], read,
-                         lambda: self.refuse(asked.ask, "state service does not answer"))
+        self.e.read_keys(
+            [JOBS + asked.job, FINAL + asked.job],
+            read,
+            lambda: self.refuse(asked.ask, "state service does not answer"),
+        )
 
     # --- cancel -----------------------------------------------------------
     def cancel(self, cmd: Cancel) -> None:
@@ -345,8 +365,10 @@
                 self._cancel(asked)
             else:
                 self.e.read_keys(
-                    [JOBS + cmd.job, FINAL + cmd.job], lambda: self._cancel(asked),
-                    lambda: self.refuse(cmd.ask, "state service does not answer"))
+                    [JOBS + cmd.job, FINAL + cmd.job],
+                    lambda: self._cancel(asked),
+                    lambda: self.refuse(cmd.ask, "state service does not answer"),
+                )
 
     def _cancel(self, asked: Asked) -> None:
         """Committed first, then answered, then carried out: the record's version
@@ -382,8 +404,11 @@
                 self.e.cancels.told(None if over else new, job.id, revision)
                 self.answer(asked.ask, 200, wire.JobState(job.id, wire.CANCELLED))
             elif reply.outcome == "conflict":
-                self.e.read_keys([JOBS + job.id, FINAL + job.id], lambda: self._cancel(asked),
-                                 lambda: self.refuse(asked.ask, "state service does not answer"))
+                self.e.read_keys(
+                    [JOBS + job.id, FINAL + job.id],
+                    lambda: self._cancel(asked),
+                    lambda: self.refuse(asked.ask, "state service does not answer"),
+                )
             else:
                 self.refuse(asked.ask, "state service does not answer")
 
--- a/appledock/core/rooms.py
+++ b/appledock/core/rooms.py
@@ -69,8 +69,7 @@
         self.next_sweep = self.e.now + c.SILENCE_EVERY_S
         for name, room in self.table.items():
             worker = self.e.workers.table.get(name)
-            if worker is None or not self.e.placeable(worker) or (
-                    room.session != worker.session):
+            if worker is None or not self.e.placeable(worker) or (room.session != worker.session):
                 self.dirty.add(name)
 
     # --- reading ----------------------------------------------------------
@@ -108,9 +107,20 @@
         assert report is not None
         kind = self.e.types[report.type]
         fetching: set[str] = set()
-        room = Room(worker.id, kind, report.zone, report.spot, report.session, kind.cpus,
-                    kind.gpus, kind.memory_gb, set(worker.images), fetching,
-                    self.e.replica.owner_of(worker.id), len(worker.failed_jobs))
+        room = Room(
+            worker.id,
+            kind,
+            report.zone,
+            report.spot,
+            report.session,
+            kind.cpus,
+            kind.gpus,
+            kind.memory_gb,
+            set(worker.images),
+            fetching,
+            self.e.replica.owner_of(worker.id),
+            len(worker.failed_jobs),
+        )
         jobs = self.e.replica.jobs
         recorded = 0
         for job_id, attempts in self.e.replica.by_machine.get(worker.id, {}).items():
@@ -126,19 +136,26 @@
                             continue
                     room.take(spec)
                     if spec.image not in room.images and (
-                            entry is None or entry.state == wire.FETCHING):
+                        entry is None or entry.state == wire.FETCHING
+                    ):
                         fetching.add(spec.image)
         if recorded < len(worker.tasks) and self._stray(worker):
             room.cpus = room.memory_gb = -1.0  # a stray of unknown size
         for job_id, count in self.reserved_on.get(worker.id, {}).items():
-            room.take(next(spec for machine, spec, _ in self.reserved[job_id]
-                           if machine == worker.id), count)
+            room.take(
+                next(spec for machine, spec, _ in self.reserved[job_id] if machine == worker.id),
+                count,
+            )
         return room
 
     def _stray(self, worker: Worker) -> bool:
         """Is a task there that no record explains?"""
-        known = {(f"{job_id}/{task}", attempt.number)
-                 for job_id, attempts in self.e.replica.by_machine.get(worker.id, {}).items()
-                 for attempt in attempts for task in attempt.tasks}
-        return any(entry.state != wire.EXITED and key not in known
-                   for key, entry in worker.tasks.items())
+        known = {
+            (f"{job_id}/{task}", attempt.number)
+            for job_id, attempts in self.e.replica.by_machine.get(worker.id, {}).items()
+            for attempt in attempts
+            for task in attempt.tasks
+        }
+        return any(
+            entry.state != wire.EXITED and key not in known for key, entry in worker.tasks.items()
+        )
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -21,6 +21,7 @@
 
 log = logging.getLogger(__name__)
 
+
 class Steps:
     """Moves the jobs that this controller owns."""
 
@@ -70,9 +71,11 @@
         self.changed_workers.clear()
         if self.e.now >= self.next_sweep:
             self.next_sweep = self.e.now + c.SWEEP_EVERY_S
-            self.dirty.update(j for j, job in replica.jobs.items()
-                              if (job.attempts or replica.withdrawn(j))
-                              and self.e.owns_job(job))
+            self.dirty.update(
+                j
+                for j, job in replica.jobs.items()
+                if (job.attempts or replica.withdrawn(j)) and self.e.owns_job(job)
+            )
             self._watch_lost()
             self._release_shares()
             if replica.queued:
@@ -126,9 +129,16 @@
 
     def _clear(self, job_id: str) -> None:
         tables: tuple[dict[str, Any], ...] = (
-            self.retry_at, self.written_at, self.lost_since, self.blocked, self.stops,
-            self.mine_since, self.freed, self.ready_at,
-            self.invalid)
+            self.retry_at,
+            self.written_at,
+            self.lost_since,
+            self.blocked,
+            self.stops,
+            self.mine_since,
+            self.freed,
+            self.ready_at,
+            self.invalid,
+        )
         for table in tables:
             table.pop(job_id, None)
 
@@ -139,12 +149,13 @@
         """Stopped attempts that never showed up on their worker: a launch may
         still be under way. A new term makes it harmless."""
         for job in self.e.replica.jobs.values():
-            waits = any((job.cancelled or attempt.stopping)
-                        and self._unseen(job, attempt) for attempt in job.attempts)
+            waits = any(
+                (job.cancelled or attempt.stopping) and self._unseen(job, attempt)
+                for attempt in job.attempts
+            )
             if not waits or not self.e.owns_job(job):
                 self.lost_since.pop(job.id, None)
-            elif self.e.now - self.lost_since.setdefault(
-                    job.id, self.e.now) > c.TERM_BUMP_AFTER_S:
+            elif self.e.now - self.lost_since.setdefault(job.id, self.e.now) > c.TERM_BUMP_AFTER_S:
                 self.e.membership.want_term = True
 
     def _unseen(self, job: Job, attempt: Attempt) -> bool:
@@ -156,7 +167,8 @@
             # costs the whole cluster; its lease or its deletion settles it.
             return False
         return any(
-            (f"{job.id}/{task}", attempt.number) not in worker.tasks for task in attempt.tasks)
+            (f"{job.id}/{task}", attempt.number) not in worker.tasks for task in attempt.tasks
+        )
 
     # --- stopping ---------------------------------------------------------
     def stop(self, job_id: str, machine: str, tasks: set[int]) -> None:
@@ -182,8 +194,9 @@
                     attempt.stopping = True
                 else:
                     attempt.tasks -= hit
-                    job.attempts.append(Attempt(machine, attempt.session, attempt.number,
-                                                attempt.term, True, hit))
+                    job.attempts.append(
+                        Attempt(machine, attempt.session, attempt.number, attempt.term, True, hit)
+                    )
         return changed
 
     # --- settling ---------------------------------------------------------
@@ -241,8 +254,10 @@
 
     def _progress_every(self, job: Job) -> float:
         """s between two lists of finished tasks of the job."""
-        if any(self.blocked.get(other) == "team limit"
-               for other in self.e.replica.by_team.get(job.spec.team, ())):
+        if any(
+            self.blocked.get(other) == "team limit"
+            for other in self.e.replica.by_team.get(job.spec.team, ())
+        ):
             return c.PROGRESS_EVERY_S
         return c.PROGRESS_CROWDED_S if self._crowded() else c.PROGRESS_RELAXED_S
 
@@ -299,9 +314,16 @@
 
     def _place_all(self) -> None:
         replica = self.e.replica
-        waiting = [job for job in (replica.jobs[j] for j in replica.queued.union(
-            j for j in self.freed if j in replica.jobs and j not in replica.needs.waiting))
-            if self.e.owns_job(job)]
+        waiting = [
+            job
+            for job in (
+                replica.jobs[j]
+                for j in replica.queued.union(
+                    j for j in self.freed if j in replica.jobs and j not in replica.needs.waiting
+                )
+            )
+            if self.e.owns_job(job)
+        ]
         if not waiting:
             return
         self.e.rooms.refresh()
@@ -313,8 +335,7 @@
         # taken by one job in one step, not by each in one of its own.
         arrays = self.e.now >= self.next_arrays and not self._hold_back()
         if arrays:
-            self.next_arrays = self.e.now + (c.GATHER_CROWDED_S if self._crowded()
-                                             else c.GATHER_S)
+            self.next_arrays = self.e.now + (c.GATHER_CROWDED_S if self._crowded() else c.GATHER_S)
         for job in sorted(waiting, key=lambda job: (self.urgency(job), job.id)):
             if not self._ready(job) or not (arrays or job.spec.service):
                 self.e.queue_dirty = True
@@ -358,12 +379,16 @@
             if better == self.e.settings.name:
                 self.blocked[job.id] = "room is being made"
                 return False
-            if better is not None and not (self.pressed() and any(
-                    room.fits(job.spec) and placement.allowed_on(job.spec, room)
-                    for room in own)):
+            if better is not None and not (
+                self.pressed()
+                and any(
+                    room.fits(job.spec) and placement.allowed_on(job.spec, room) for room in own
+                )
+            ):
                 return self._hand_over(job, better)
-        placed = placement.place(job.spec, count, own, self.e.rng, zones or {}, gang,
-                                 int(self.e.admin["sample"]))
+        placed = placement.place(
+            job.spec, count, own, self.e.rng, zones or {}, gang, int(self.e.admin["sample"])
+        )
         if gang and not placed and self.e.membership.leader():
             # What fits no part is placed by the leader over all machines; the rest
             # is handed on, or leader and owner would fill the same room twice.
@@ -396,8 +421,9 @@
         assert view is not None
         for room, number in placed:
             part, tasks = tasks[:number], tasks[number:]
-            new.attempts.append(Attempt(room.machine, room.session, new.steps, view.term,
-                                        False, set(part)))
+            new.attempts.append(
+                Attempt(room.machine, room.session, new.steps, view.term, False, set(part))
+            )
         if handoff is not None:
             new.handoff = (handoff, view.members[handoff])
         elif new.handoff and view.members.get(new.handoff[0]) != new.handoff[1]:
@@ -427,8 +453,12 @@
         if not placed:
             self.blocked[job.id] = "record full"
             return False
-        return self._commit(job, new, self._priority(job),
-                            [(room.machine, job.spec, number) for room, number in placed])
+        return self._commit(
+            job,
+            new,
+            self._priority(job),
+            [(room.machine, job.spec, number) for room, number in placed],
+        )
 
     @staticmethod
     def _priority(job: Job) -> Priority:
@@ -452,8 +482,9 @@
             zones[zone] = zones.get(zone, 0) + len(attempt.tasks)
         return zones
 
-    def _hand_off(self, job: Job, rooms: list[Room], left: int, gang: bool,
-                  zones: dict[str, int]) -> str | None:
+    def _hand_off(
+        self, job: Job, rooms: list[Room], left: int, gang: bool, zones: dict[str, int]
+    ) -> str | None:
         """The controller whose workers report most room for the rest."""
         view = self.e.replica.view
         assert view is not None
@@ -461,8 +492,11 @@
         for room in rooms:
             if room.owner != self.e.settings.name and room.owner in view.members:
                 by_owner.setdefault(room.owner, []).append(room)
-        best = {owner: fit for owner, theirs in by_owner.items()
-                if (fit := placement.room_for(job.spec, theirs, zones))}
+        best = {
+            owner: fit
+            for owner, theirs in by_owner.items()
+            if (fit := placement.room_for(job.spec, theirs, zones))
+        }
         if gang:
             whole = {node: fit for node, fit in best.items() if fit >= left}
             if whole:
@@ -481,8 +515,13 @@
         return most if job.spec.service or (worth and settled) else None
 
     # --- writing ----------------------------------------------------------
-    def _commit(self, job: Job, new: Job, priority: Priority,
-                reserved: list[tuple[str, wire.JobSpec, int]] | None = None) -> bool:
+    def _commit(
+        self,
+        job: Job,
+        new: Job,
+        priority: Priority,
+        reserved: list[tuple[str, wire.JobSpec, int]] | None = None,
+    ) -> bool:
         """Completion, next step and the team's charge in one conditional write."""
         plan = TxnPlan(self.e.membership.conditions())
         plan.conditions[JOBS + job.id] = job.version
@@ -518,10 +557,15 @@
                 self.invalid.pop(job.id, None)
                 self.preemption.placed(job.id, reserved or [])
                 if reserved:
-                    log.info("%s step %d: %s%s", job.id, new.steps, ", ".join(
-                        f"{count} on {machine}" for machine, _, count in reserved),
-                        f", rest to {new.handoff[0]}" if new.handoff != job.handoff
-                        and new.handoff else "")
+                    log.info(
+                        "%s step %d: %s%s",
+                        job.id,
+                        new.steps,
+                        ", ".join(f"{count} on {machine}" for machine, _, count in reserved),
+                        f", rest to {new.handoff[0]}"
+                        if new.handoff != job.handoff and new.handoff
+                        else "",
+                    )
                 if over:
                     self.e.replica.put(FINAL + job.id, {"state": over}, revision)
                     self.e.replica.drop(JOBS + job.id, revision)
@@ -569,9 +613,15 @@
         taken = False
         for other_id, entries in list(self.e.rooms.reserved.items()):
             other = self.e.replica.jobs.get(other_id)
-            if other is not None and self.e.rank(other) < self.e.rank(job) and any(
+            if (
+                other is not None
+                and self.e.rank(other) < self.e.rank(job)
+                and any(
                     (room := self.e.rooms.table.get(machine)) is not None
-                    and placement.allowed_on(job.spec, room) for machine, _, _ in entries):
+                    and placement.allowed_on(job.spec, room)
+                    for machine, _, _ in entries
+                )
+            ):
                 taken = self._withdraw(other_id) or taken
         return taken
 
@@ -607,8 +657,9 @@
     def _back_off(self, job: Job, new: Job) -> None:
         """A job that fails everywhere waits longer and longer."""
         if new.failures > job.failures:
-            pause = min(c.ERROR_BACKOFF_MAX_S,
-                        c.ERROR_BACKOFF_S * 2 ** min(10, max(0, new.failures - 2)))
+            pause = min(
+                c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(10, max(0, new.failures - 2))
+            )
             if new.failures >= 2:
                 self.retry_at[job.id] = self.e.now + pause
 
@@ -626,10 +677,12 @@
     def add(self, spec: wire.JobSpec, rank: int) -> None:
         if not (spec.one_zone or spec.spread):
             self.sizes.setdefault(self._key(spec, rank), []).append(
-                (spec.cpus, spec.gpus, spec.memory_gb))
+                (spec.cpus, spec.gpus, spec.memory_gb)
+            )
 
     def covers(self, spec: wire.JobSpec, rank: int) -> bool:
         """Did a task no larger than these find no room?"""
         return not (spec.one_zone or spec.spread) and any(
             cpus <= spec.cpus and gpus <= spec.gpus and memory <= spec.memory_gb
-            for cpus, gpus, memory in self.sizes.get(self._key(spec, rank), ()))
+            for cpus, gpus, memory in self.sizes.get(self._key(spec, rank), ())
+        )
--- a/appledock/core/workers.py
+++ b/appledock/core/workers.py
@@ -119,8 +119,9 @@
         if worker is None:
             # Another controller may have answered it under a view it still
             # believes in; that ends within one lease from now.
-            worker = self.table[name] = Worker(name, bound=max(
-                self.start_bound, self.e.now + self.e.grant_s))
+            worker = self.table[name] = Worker(
+                name, bound=max(self.start_bound, self.e.now + self.e.grant_s)
+            )
         return worker
 
     def owned(self, name: str) -> bool:
@@ -209,8 +210,10 @@
             worker.well_at = max(worker.well_at, now - well_s)
         else:
             worker.reached_at = now
-        if well_s is None and (old is None or (old.session == report.session
-                             and now - worker.heard_at < c.ANSWER_LOST_S)):
+        if well_s is None and (
+            old is None
+            or (old.session == report.session and now - worker.heard_at < c.ANSWER_LOST_S)
+        ):
             # A worker whose answers do not arrive still reports, but only after
             # it has waited for each answer in vain.
             worker.well_at = now
@@ -230,11 +233,16 @@
         if worker.uncertain:
             worker.uncertain = {k: t for k, t in worker.uncertain.items() if t >= report.token}
         for key, entry in worker.tasks.items():
-            if (entry.state == wire.RUNNING and key not in worker.since
-                    and self.e.replica.view is not None and self.owned(worker.id)):
+            if (
+                entry.state == wire.RUNNING
+                and key not in worker.since
+                and self.e.replica.view is not None
+                and self.owned(worker.id)
+            ):
                 log.debug("%s started on %s", entry.task, worker.id)
-        worker.since = {k: worker.since.get(k, now) for k, t in worker.tasks.items()
-                        if t.state == wire.RUNNING}
+        worker.since = {
+            k: worker.since.get(k, now) for k, t in worker.tasks.items() if t.state == wire.RUNNING
+        }
         for (task, _), entry in worker.tasks.items():
             if entry.state in (wire.RUNNING, wire.SAVING) or entry.why == wire.DONE:
                 job = self.e.replica.jobs.get(split_task(task)[0])
@@ -245,9 +253,14 @@
             worker.idle_since = 0.0
         elif not worker.idle_since:
             worker.idle_since = now
-        if (before.keys() != worker.tasks.keys() or old is None or old.session != report.session
-                or old.token != report.token or old.notice_s != report.notice_s
-                or any(before[k].state != t.state for k, t in worker.tasks.items())):
+        if (
+            before.keys() != worker.tasks.keys()
+            or old is None
+            or old.session != report.session
+            or old.token != report.token
+            or old.notice_s != report.notice_s
+            or any(before[k].state != t.state for k, t in worker.tasks.items())
+        ):
             self.e.steps.worker_changed(worker.id)
             self.e.rooms.touch(worker.id)
             self.e.queue_dirty = True
@@ -269,15 +282,25 @@
             self.unchanged.add(worker.id)
 
     def _whole(self, worker: Worker, report: wire.Report) -> dict[str, Any]:
-        return {"kind": "worker", "report": report,
-                "well_s": round(min(self.e.now - worker.well_at, 1e6), 3)}
+        return {
+            "kind": "worker",
+            "report": report,
+            "well_s": round(min(self.e.now - worker.well_at, 1e6), 3),
+        }
 
     def _alive(self, names: Iterable[str], to: str | None = None) -> None:
         """Workers whose reports came: number, and how long ago they came and were well."""
         now = self.e.now
-        rows = [[name, *worker.seen, round(min(now - worker.heard_at, 1e6), 3),
-                 round(min(now - worker.well_at, 1e6), 3)]
-                for name in names if (worker := self.table.get(name)) is not None]
+        rows = [
+            [
+                name,
+                *worker.seen,
+                round(min(now - worker.heard_at, 1e6), 3),
+                round(min(now - worker.well_at, 1e6), 3),
+            ]
+            for name in names
+            if (worker := self.table.get(name)) is not None
+        ]
         if rows:
             self.e.emit(PeerSend({"kind": "alive", "workers": rows}, to))
 
@@ -326,8 +349,11 @@
                 if now - worker.halted.get(key, -1e9) >= c.HALT_AGAIN_S:
                     worker.halted[key] = now
                     result.append(wire.Command(wire.HALT, *key, grace_s=0.0))
-            elif known[1].stopping and entry.state != wire.SAVING and (
-                    now - worker.halted.get(key, -1e9) >= c.HALT_AGAIN_S):
+            elif (
+                known[1].stopping
+                and entry.state != wire.SAVING
+                and (now - worker.halted.get(key, -1e9) >= c.HALT_AGAIN_S)
+            ):
                 worker.halted[key] = now
                 spec = known[0].spec
                 grace = spec.save_s + 1.0 if spec.checkpoint_s > 0 else 0.0
@@ -358,8 +384,13 @@
     def order(self, worker: Worker) -> None:
         """Send commands straight to the worker, at once."""
         report = worker.report
-        if (worker.calling or report is None or not self.e.membership.acting()
-                or report.session <= worker.lapsed or worker.id in self.gone):
+        if (
+            worker.calling
+            or report is None
+            or not self.e.membership.acting()
+            or report.session <= worker.lapsed
+            or worker.id in self.gone
+        ):
             return
         launched, uncertain = dict(worker.launched), dict(worker.uncertain)
         commands = self.commands(worker, direct=True)
@@ -381,7 +412,8 @@
                     # What was not sent now says nothing of the same launch sent before:
                     # that one may still be on its way, or have been carried out.
                     if worker.uncertain.get(key) == term and (
-                            reply.outcome == "ok" or key not in uncertain):
+                        reply.outcome == "ok" or key not in uncertain
+                    ):
                         del worker.uncertain[key]
             if reply.outcome == "unknown":
                 worker.launched.update((key, self.e.now) for key in launches)
@@ -396,9 +428,12 @@
             elif reply.report.worker == worker.id and self.learn(reply.report):
                 self.pass_on(worker)
 
-        self.e.call(lambda tag: WorkerCall(
-            tag, report.addr, wire.Orders(term, report.session, commands), c.ORDERS_TIMEOUT_S),
-            answered)
+        self.e.call(
+            lambda tag: WorkerCall(
+                tag, report.addr, wire.Orders(term, report.session, commands), c.ORDERS_TIMEOUT_S
+            ),
+            answered,
+        )
 
     def flush_orders(self) -> None:
         due, self.orders_due = self.orders_due, set()
@@ -441,9 +476,15 @@
             return "settled"
         if report is not None and report.session > attempt.session:
             return "settled"
-        if (report is not None and report.session == attempt.session and key not in worker.tasks
-                and (job.cancelled or attempt.stopping) and key not in worker.launched
-                and attempt.term == self.e.membership.term and self.owned(worker.id)):
+        if (
+            report is not None
+            and report.session == attempt.session
+            and key not in worker.tasks
+            and (job.cancelled or attempt.stopping)
+            and key not in worker.launched
+            and attempt.term == self.e.membership.term
+            and self.owned(worker.id)
+        ):
             # Only the owner launches, it never did, and the record forbids it now.
             return "settled"
         return None
@@ -474,8 +515,14 @@
             # A session heard of lives on for a lease even if nobody answers it.
             since = max(worker.bound, worker.heard_at)
             if now >= since + lease and self.owned(machine):
-                top = max((a.session for attempts in self.e.replica.by_machine[machine].values()
-                           for a in attempts), default=0)
+                top = max(
+                    (
+                        a.session
+                        for attempts in self.e.replica.by_machine[machine].values()
+                        for a in attempts
+                    ),
+                    default=0,
+                )
                 session = max(top, worker.session)
                 if session > worker.lapsed:
                     # The view must be proven to have been ours until then: a
@@ -483,13 +530,18 @@
                     if member.view_sent >= since + lease:
                         log.info("%s: session %d has lapsed", machine, session)
                         self.set_lapsed(machine, session)
-                        self.e.emit(PeerSend({"kind": "lapsed", "worker": machine,
-                                              "session": session}))
+                        self.e.emit(
+                            PeerSend({"kind": "lapsed", "worker": machine, "session": session})
+                        )
                     else:
                         member.confirm()
-            if (worker.report is not None and now - worker.heard_at > c.SHOW_AFTER_S
-                    and now >= worker.show_at and not worker.calling
-                    and session_open(self.e, worker)):
+            if (
+                worker.report is not None
+                and now - worker.heard_at > c.SHOW_AFTER_S
+                and now >= worker.show_at
+                and not worker.calling
+                and session_open(self.e, worker)
+            ):
                 self.show(worker)
 
     # --- members that workers do not reach --------------------------------
@@ -500,8 +552,11 @@
         if view is None or self.e.membership.detached():
             return 0.0
         near = c.REPORTING_INTERVALS * self.e.settings.cluster.workers.report_s
-        heard = [worker for worker in self.table.values()
-                 if now - worker.heard_at < near + c.VAIN_S and self.owned(worker.id)]
+        heard = [
+            worker
+            for worker in self.table.values()
+            if now - worker.heard_at < near + c.VAIN_S and self.owned(worker.id)
+        ]
         direct = sum(now - worker.reached_at < near for worker in heard)
         return direct / len(heard) if heard else 1.0
 
@@ -515,23 +570,33 @@
         a view in which it owns nothing moves them in one write, however many."""
         now = self.e.now
         for owner in list(self.vain):
-            rows = self.vain[owner] = {name: at for name, at in self.vain[owner].items()
-                                       if now - at < c.VAIN_WINDOW_S}
+            rows = self.vain[owner] = {
+                name: at for name, at in self.vain[owner].items() if now - at < c.VAIN_WINDOW_S
+            }
             if not rows:
                 del self.vain[owner]
                 continue
             view = self.e.replica.view
             assert view is not None
             waited = len(rows) + self.e.pulse.vain_elsewhere(owner)
-            if (waited < c.DETACH_MIN or owner not in view.attached()
-                    or self.e.pulse.hears_workers(owner)):
+            if (
+                waited < c.DETACH_MIN
+                or owner not in view.attached()
+                or self.e.pulse.hears_workers(owner)
+            ):
                 continue
-            owned = sum(now - worker.heard_at < 2 * c.VAIN_WINDOW_S
-                        and self.e.replica.owner_of(worker.id) == owner
-                        for worker in self.table.values())
+            owned = sum(
+                now - worker.heard_at < 2 * c.VAIN_WINDOW_S
+                and self.e.replica.owner_of(worker.id) == owner
+                for worker in self.table.values()
+            )
             if waited >= c.DETACH_SHARE * owned:
-                log.warning("%d of %d workers of %s waited for it in vain; it shall own "
-                            "nothing", waited, owned, owner)
+                log.warning(
+                    "%d of %d workers of %s waited for it in vain; it shall own nothing",
+                    waited,
+                    owned,
+                    owner,
+                )
                 self.e.membership.want_detached.add(owner)
                 del self.vain[owner]
 
@@ -564,8 +629,12 @@
             self.probes += left[0] == 0
 
         for report in [worker.report for worker in drawn if worker.report is not None]:
-            self.e.call(lambda tag, addr=report.addr: WorkerCall(  # type: ignore[misc]
-                tag, addr, None, c.SHOW_TIMEOUT_S), answered)
+            self.e.call(
+                lambda tag, addr=report.addr: WorkerCall(  # type: ignore[misc]
+                    tag, addr, None, c.SHOW_TIMEOUT_S
+                ),
+                answered,
+            )
 
     def _remind(self) -> None:
         """Proofs of settlement are repeated while attempts wait for them: the
@@ -577,8 +646,9 @@
         for machine in waiting:
             worker = self.table.get(machine)
             if worker is not None and worker.lapsed:
-                self.e.emit(PeerSend({"kind": "lapsed", "worker": machine,
-                                      "session": worker.lapsed}))
+                self.e.emit(
+                    PeerSend({"kind": "lapsed", "worker": machine, "session": worker.lapsed})
+                )
 
     def show(self, worker: Worker) -> None:
         """Ask the worker itself: the owner may be unable to pass reports on."""
@@ -663,8 +733,11 @@
             if worker.report is not None and self.e.replica.view and self.owned(worker.id):
                 self.e.emit(PeerSend(self._whole(worker, worker.report), name))
             if worker.lapsed:
-                self.e.emit(PeerSend({"kind": "lapsed", "worker": worker.id,
-                                      "session": worker.lapsed}, name))
+                self.e.emit(
+                    PeerSend(
+                        {"kind": "lapsed", "worker": worker.id, "session": worker.lapsed}, name
+                    )
+                )
         self._alive(list(self.table), name)
         if self.gone:
             self.e.emit(PeerSend({"kind": "gone", "machines": list(self.gone)[-2000:]}, name))
@@ -672,6 +745,8 @@
 
 def session_open(engine: Engine, worker: Worker) -> bool:
     """Does a job of ours have an open attempt in the worker's session?"""
-    return any(engine.owns_job(engine.replica.jobs[job_id]) and any(
-        attempt.session > worker.lapsed for attempt in attempts)
-        for job_id, attempts in engine.replica.by_machine.get(worker.id, {}).items())
+    return any(
+        engine.owns_job(engine.replica.jobs[job_id])
+        and any(attempt.session > worker.lapsed for attempt in attempts)
+        for job_id, attempts in engine.replica.by_machine.get(worker.id, {}).items()
+    )
--- a/appledock/metrics.py
+++ b/appledock/metrics.py
@@ -20,14 +20,20 @@
     def took(self, name: str, seconds: float) -> None:
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = self.histograms[name] = HdrHistogram(
-                1, c.LATENCY_MAX_US, c.LATENCY_DIGITS)
+            histogram = self.histograms[name] = HdrHistogram(1, c.LATENCY_MAX_US, c.LATENCY_DIGITS)
         histogram.record_value(min(max(1, int(seconds * 1e6)), c.LATENCY_MAX_US))
 
     def summary(self) -> dict[str, Any]:
         """Count and percentiles in milliseconds by name."""
-        return {"latency_ms": {
-            name: {"count": histogram.get_total_count(),
-                   **{f"p{p:g}": round(histogram.get_value_at_percentile(p) / 1000, 3)
-                      for p in PERCENTILES}}
-            for name, histogram in sorted(self.histograms.items())}}
+        return {
+            "latency_ms": {
+                name: {
+                    "count": histogram.get_total_count(),
+                    **{
+                        f"p{p:g}": round(histogram.get_value_at_percentile(p) / 1000, 3)
+                        for p in PERCENTILES
+                    },
+                }
+                for name, histogram in sorted(self.histograms.items())
+            }
+        }
--- a/appledock/net/http.py
+++ b/appledock/net/http.py
@@ -22,8 +22,11 @@
 
 
 def _head(status: int, length: int, headers: dict[str, str] | None, close: bool) -> bytes:
-    lines = [f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}",
-             "Content-Type: application/json", f"Content-Length: {length}"]
+    lines = [
+        f"HTTP/1.1 {status} {_REASONS.get(status, 'Unknown')}",
+        "Content-Type: application/json",
+        f"Content-Length: {length}",
+    ]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
     if close:
         lines.append("Connection: close")
@@ -136,8 +139,9 @@
             log.exception("handler failed for %s %s", method, path)
             answer(500, b'{"error":"internal error"}', None)
 
-    def _answer(self, status: int, payload: bytes, headers: dict[str, str] | None,
-                keep: bool) -> None:
+    def _answer(
+        self, status: int, payload: bytes, headers: dict[str, str] | None, keep: bool
+    ) -> None:
         self.answering = False
         self.touched = self.server.loop.time()
         if self.transport is None:
@@ -164,7 +168,8 @@
             return
         quiet = now - self.touched
         if quiet > (c.SLOW_PEER_S if self.receiving else c.IDLE_PEER_S) or (
-                self.closing and quiet > c.SLOW_PEER_S):
+            self.closing and quiet > c.SLOW_PEER_S
+        ):
             self.transport.abort()
 
 
@@ -186,7 +191,8 @@
 
     async def start(self, host: str, port: int) -> int:
         self.listener = await self.loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=512, reuse_address=True)
+            lambda: ServerConnection(self), host, port, backlog=512, reuse_address=True
+        )
         self._sweep()
         return int(self.listener.sockets[0].getsockname()[1])
 
@@ -270,8 +276,9 @@
         self.closed = False
         self.slots = asyncio.Semaphore(most)
 
-    async def request(self, method: str, path: str, body: bytes = b"",
-                      timeout: float = 5.0) -> tuple[int, bytes]:
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout: float = 5.0
+    ) -> tuple[int, bytes]:
         """Status and body. Raises NotSent or NoAnswer."""
         deadline = self.loop.time() + timeout
         if self.slots.locked():
@@ -295,13 +302,15 @@
         patience = min(c.CONNECT_TIMEOUT_S, max(0.05, deadline - self.loop.time()))
         try:
             _, connection = await asyncio.wait_for(
-                self.loop.create_connection(ClientConnection, self.host, self.port), patience)
+                self.loop.create_connection(ClientConnection, self.host, self.port), patience
+            )
         except (OSError, TimeoutError) as error:
             raise NotSent(str(error) or "connect timed out") from None
         return connection
 
-    async def _exchange(self, connection: ClientConnection, method: str, path: str, body: bytes,
-                        deadline: float) -> tuple[int, bytes]:
+    async def _exchange(
+        self, connection: ClientConnection, method: str, path: str, body: bytes, deadline: float
+    ) -> tuple[int, bytes]:
         if connection.transport is None:
             raise NotSent("connection lost")
         connection.future = self.loop.create_future()
@@ -310,8 +319,9 @@
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         connection.transport.write(head.encode() + b"\r\n" + body)
         try:
-            result = await asyncio.wait_for(connection.future,
-                                            max(0.01, deadline - self.loop.time()))
+            result = await asyncio.wait_for(
+                connection.future, max(0.01, deadline - self.loop.time())
+            )
         except TimeoutError:
             connection.future = None
             connection.close()
--- a/appledock/net/peers.py
+++ b/appledock/net/peers.py
@@ -50,7 +50,7 @@
                 break
             if self.buffer[end] != 0x2C:
                 raise Malformed("no comma")
-            payloads.append(bytes(self.buffer[colon + 1:end]))
+            payloads.append(bytes(self.buffer[colon + 1 : end]))
             start = end + 1
         del self.buffer[:start]
         return payloads
@@ -84,8 +84,7 @@
 class PeerLink(asyncio.Protocol):
     """Sending end of a link; dials again for ever."""
 
-    def __init__(self, name: str, host: str, port: int,
-                 opened: Callable[[str], None]) -> None:
+    def __init__(self, name: str, host: str, port: int, opened: Callable[[str], None]) -> None:
         self.name, self.host, self.port = name, host, port
         self.opened = opened
         self.loop = asyncio.get_running_loop()
@@ -97,7 +96,8 @@
                 try:
                     await asyncio.wait_for(
                         self.loop.create_connection(lambda: self, self.host, self.port),
-                        c.CONNECT_TIMEOUT_S)
+                        c.CONNECT_TIMEOUT_S,
+                    )
                 except (OSError, TimeoutError) as error:
                     log.debug("link to %s: %s", self.name, error)
             await asyncio.sleep(c.PEER_RETRY_S)
--- a/appledock/settings.py
+++ b/appledock/settings.py
@@ -75,9 +75,14 @@
         """The limits to keep to, of the present and the announced ones."""
         if self.next is None:
             return self
-        return msgspec.structs.replace(self, **{
-            name: min(getattr(self, name), value)
-            for name, value in msgspec.structs.asdict(self.next).items() if value is not None})
+        return msgspec.structs.replace(
+            self,
+            **{
+                name: min(getattr(self, name), value)
+                for name, value in msgspec.structs.asdict(self.next).items()
+                if value is not None
+            },
+        )
 
 
 class Cloud(Struct, frozen=True):
@@ -130,8 +135,13 @@
         raise SettingsError("node names are not unique - at `$.peers`")
     if len({team.name for team in settings.cluster.teams}) != len(settings.cluster.teams):
         raise SettingsError("team names are not unique - at `$.cluster.teams`")
-    for address in (settings.listen, settings.peer_listen, *(p.address for p in settings.peers),
-                    settings.external.cloud, settings.external.state):
+    for address in (
+        settings.listen,
+        settings.peer_listen,
+        *(p.address for p in settings.peers),
+        settings.external.cloud,
+        settings.external.state,
+    ):
         host, port = split_address(address)
         if not 0 < port < 65536 or any(int(part) > 255 for part in host.split(".")):
             raise SettingsError(f"not an IPv4 address with port: {address}")
--- a/appledock/wire.py
+++ b/appledock/wire.py
@@ -49,7 +49,8 @@
     team: Text = field(name="owner")
     kind: Annotated[str, Meta(pattern=r"\A(batch|daemon|group)\Z")] = field(name="shape")
     priority: Annotated[str, Meta(pattern=r"\A(production|urgent|standard|best_effort)\Z")] = field(
-        name="rank")
+        name="rank"
+    )
     tasks: Annotated[int, Meta(ge=1, le=100_000)] = field(name="crates")
     cpus: Amount = field(name="cores")
     gpus: Amount = field(name="cards")
@@ -66,7 +67,8 @@
     zone: Text | None = field(name="quay", default=None)
     deadline_s: Amount | None = field(name="sail_s", default=None)
     needs: Annotated[list[JobId], Meta(max_length=1000)] | None = field(
-        name="tethers", default=None)
+        name="tethers", default=None
+    )
     """jobs that have to be done before a task of this one starts"""
 
     @property
@@ -78,7 +80,8 @@
         """Starts whole or not at all. A service in one zone of which at most half may be
         in one zone can't be whole, and runs as far as it may."""
         return self.kind == GANG or (
-            self.service and self.one_zone and not self.spread and self.tasks > 1)
+            self.service and self.one_zone and not self.spread and self.tasks > 1
+        )
 
     @property
     def rank(self) -> int:
--- a/tests/standins/chains.py
+++ b/tests/standins/chains.py
@@ -14,29 +14,60 @@
 
 def spec(world: World, job: str, job_class: str, needs: list[str], last: bool) -> dict[str, Any]:
     rng = world.clock.rng
-    return {"id": job, "berth": job_class, "owner": rng.choice(["red", "blue"]),
-            "shape": "batch", "rank": "urgent" if last else "best_effort",
-            "crates": rng.randint(2, 5) if job_class == "wide" else rng.randint(1, 2),
-            "cores": 1.0, "cards": 0.0, "memory_gb": 2.0, "cargo": f"img-{job_class}",
-            "image_gb": 1.0, "hulls": None, "quay": None, "together": False, "scatter": False,
-            "standby": True, "eta_s": 4.0, "stow_s": 0.0, "lash_s": 0.0,
-            "sail_s": 90.0 if last else None, "tethers": needs or None,
-            "run_s": 2 + rng.random() * 5}
-
-
-def pipeline(world: World, number: int, cancel: int | None = None, cancel_after: float = 0.0,
-             late: bool = False, stages: Stages = CHAIN) -> list[str]:
+    return {
+        "id": job,
+        "berth": job_class,
+        "owner": rng.choice(["red", "blue"]),
+        "shape": "batch",
+        "rank": "urgent" if last else "best_effort",
+        "crates": rng.randint(2, 5) if job_class == "wide" else rng.randint(1, 2),
+        "cores": 1.0,
+        "cards": 0.0,
+        "memory_gb": 2.0,
+        "cargo": f"img-{job_class}",
+        "image_gb": 1.0,
+        "hulls": None,
+        "quay": None,
+        "together": False,
+        "scatter": False,
+        "standby": True,
+        "eta_s": 4.0,
+        "stow_s": 0.0,
+        "lash_s": 0.0,
+        "sail_s": 90.0 if last else None,
+        "tethers": needs or None,
+        "run_s": 2 + rng.random() * 5,
+    }
+
+
+def pipeline(
+    world: World,
+    number: int,
+    cancel: int | None = None,
+    cancel_after: float = 0.0,
+    late: bool = False,
+    stages: Stages = CHAIN,
+) -> list[str]:
     """Submit a pipeline from now on; its job at the place `cancel` is called off so long
     after its submission. `late`: the last job comes only when all others are over."""
     names = [f"job-9{number:03d}{place:03d}" for place in range(len(stages))]
-    specs = [spec(world, names[place], job_class, [names[need] for need in needs],
-                  place == len(stages) - 1) for place, (job_class, needs) in enumerate(stages)]
+    specs = [
+        spec(
+            world,
+            names[place],
+            job_class,
+            [names[need] for need in needs],
+            place == len(stages) - 1,
+        )
+        for place, (job_class, needs) in enumerate(stages)
+    ]
 
     def submit(place: int) -> None:
         needs = specs[place]["tethers"] or []
         wait_for = names[:-1] if late and place == len(stages) - 1 else []
         if all(need in world.judge.accepted for need in needs) and all(
-                name in world.judge.final for name in wait_for):
+            name in world.judge.final for name in wait_for
+        ):
             world.submit(specs[place], cancel_after if cancel == place else None)
         else:
             world.clock.after(0.3, lambda: submit(place))
--- a/tests/standins/clock.py
+++ b/tests/standins/clock.py
@@ -21,7 +21,8 @@
 
     def parts(self, a: str, b: str) -> bool:
         return (a in self.left and b in self.right) or (
-            not self.one_way and b in self.left and a in self.right)
+            not self.one_way and b in self.left and a in self.right
+        )
 
 
 class Clock:
@@ -51,8 +52,9 @@
             action()
         self.now = until
 
-    def cut(self, left: set[str], right: set[str], seconds: float, hold: bool,
-            one_way: bool = False) -> Cut:
+    def cut(
+        self, left: set[str], right: set[str], seconds: float, hold: bool, one_way: bool = False
+    ) -> Cut:
         cut = Cut(left, right, self.now + seconds, hold, one_way)
         self.cuts.append(cut)
         return cut
--- a/tests/standins/judge.py
+++ b/tests/standins/judge.py
@@ -60,17 +60,25 @@
         if any(name != machine["id"] for name in there):
             self.breaks("ran_twice", f"{task} on {machine['id']} while on {list(there)}")
         there[machine["id"]] = machine
-        used = sum(self.jobs[t.split("/")[0]]["cores"] * len(places)
-                   for t, places in self.on.items()
-                   if self.jobs[t.split("/")[0]]["owner"] == job["owner"])
+        used = sum(
+            self.jobs[t.split("/")[0]]["cores"] * len(places)
+            for t, places in self.on.items()
+            if self.jobs[t.split("/")[0]]["owner"] == job["owner"]
+        )
         if used > self.limits[job["owner"]] + 1e-6:
             self.breaks("quota", f"{job['owner']} uses {used}")
-        if (job["hulls"] and machine["hull"] not in job["hulls"]) or (
-                job["quay"] and machine["quay"] != job["quay"]) or (
-                machine["standby"] and not job["standby"]):
+        if (
+            (job["hulls"] and machine["hull"] not in job["hulls"])
+            or (job["quay"] and machine["quay"] != job["quay"])
+            or (machine["standby"] and not job["standby"])
+        ):
             self.breaks("wrong_place", f"{task} on {machine}")
-        zones = [place["quay"] for t, places in self.on.items()
-                 if t.split("/")[0] == job["id"] for place in places.values()]
+        zones = [
+            place["quay"]
+            for t, places in self.on.items()
+            if t.split("/")[0] == job["id"]
+            for place in places.values()
+        ]
         if job["together"] and len(set(zones)) > 1:
             self.breaks("wrong_place", f"{task} apart: {zones}")
         if job["scatter"] and zones.count(machine["quay"]) > (job["crates"] + 1) // 2:
@@ -141,16 +149,27 @@
         for job_id in self.accepted:
             job = self.jobs[job_id]
             there = placed.get(job_id, [])
-            over = job_id in self.final or self.called_off(job_id) or any(
-                len(self.completed.get(need, ())) < self.jobs[need]["crates"]
-                for need in job.get("tethers") or ())
+            over = (
+                job_id in self.final
+                or self.called_off(job_id)
+                or any(
+                    len(self.completed.get(need, ())) < self.jobs[need]["crates"]
+                    for need in job.get("tethers") or ()
+                )
+            )
             begun = len({task for task, _ in there}) + len(self.completed.get(job_id, ()))
             zones = [zone for _, zone in there]
-            if over or begun >= job["crates"] or (
-                    used.get(job["owner"], 0.0) + job["cores"] > self.limits[job["owner"]]
-                    ) or not any(
-                    free[worker.row["id"]] >= job["cores"] and now >= worker.hung_until
-                    and self._may(job, worker.row, zones) for worker in workers):
+            if (
+                over
+                or begun >= job["crates"]
+                or (used.get(job["owner"], 0.0) + job["cores"] > self.limits[job["owner"]])
+                or not any(
+                    free[worker.row["id"]] >= job["cores"]
+                    and now >= worker.hung_until
+                    and self._may(job, worker.row, zones)
+                    for worker in workers
+                )
+            ):
                 self.could_run.pop(job_id, None)
             elif now - self.could_run.setdefault(job_id, now) > self.wait_s:
                 self.breaks("waited", f"{job_id} for {self.wait_s:g} s, a machine has room")
@@ -160,11 +179,13 @@
     def _may(job: dict[str, Any], machine: dict[str, Any], zones: list[str]) -> bool:
         """Could one more task of the job go to this machine?"""
         zone = machine["quay"]
-        return not ((job["hulls"] and machine["hull"] not in job["hulls"])
-                    or (job["quay"] and zone != job["quay"])
-                    or (machine["standby"] and not job["standby"])
-                    or (job["together"] and any(other != zone for other in zones))
-                    or (job["scatter"] and zones.count(zone) >= (job["crates"] + 1) // 2))
+        return not (
+            (job["hulls"] and machine["hull"] not in job["hulls"])
+            or (job["quay"] and zone != job["quay"])
+            or (machine["standby"] and not job["standby"])
+            or (job["together"] and any(other != zone for other in zones))
+            or (job["scatter"] and zones.count(zone) >= (job["crates"] + 1) // 2)
+        )
 
     # --- at the end of the day --------------------------------------------
     def day_end(self, peace: float, known_s: float = 75.0, begin_s: float = 240.0) -> list[str]:
@@ -176,16 +197,19 @@
                 found.append(f"forgotten: no question about {job} is answered")
         for label, field in (("class", "berth"), ("team", "owner")):
             for value in sorted({self.jobs[job][field] for job in live}):
-                found += self._served(f"{label} {value}", [
-                    job for job in live if self.jobs[job][field] == value])
+                found += self._served(
+                    f"{label} {value}", [job for job in live if self.jobs[job][field] == value]
+                )
         for value in sorted({self.jobs[job]["berth"] for job in live}):
             jobs = [job for job in live if self.jobs[job]["berth"] == value]
             jobs.sort(key=lambda job: -self.jobs[job]["crates"])
-            largest = jobs[:max(1, len(jobs) // 4)]
+            largest = jobs[: max(1, len(jobs) // 4)]
             found += self._served(f"largest of {value}", largest)
-            found += [f"{job} ({self.jobs[job]['crates']} tasks) did not begin in {begin_s:g} s"
-                      for job in largest
-                      if self.begun.get(job, now) - self.submitted[job] > begin_s]
+            found += [
+                f"{job} ({self.jobs[job]['crates']} tasks) did not begin in {begin_s:g} s"
+                for job in largest
+                if self.begun.get(job, now) - self.submitted[job] > begin_s
+            ]
         return found
 
     def _served(self, what: str, jobs: list[str]) -> list[str]:
@@ -202,8 +226,7 @@
             self.breaks("bad_accepted", f"{what} got {status}, not {self.bad[what]}")
         return True
 
-    def answered(self, job: str, sent: float, status: int, state: str | None,
-                 poll: bool) -> None:
+    def answered(self, job: str, sent: float, status: int, state: str | None, poll: bool) -> None:
         now = self.clock.now
         if status in (200, 201):
             self.heard[job] = now
@@ -211,8 +234,7 @@
                 self.breaks("invented", job)
             else:
                 self.accepted.setdefault(job, now)
-        elif job in self.accepted and self.accepted[job] <= sent and (
-                status in (400, 404, 422)):
+        elif job in self.accepted and self.accepted[job] <= sent and (status in (400, 404, 422)):
             self.breaks("forgotten", f"{job} answered {status}")
         if state is None:
             return
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -23,11 +23,16 @@
 
 SECONDS = 80
 WORK: list[tuple[str, type, str]] = [
-    ("batch", Engine, "handle"), ("report", Workers, "on_report"),
-    ("message of a peer", Workers, "on_peer"), ("look at leases", Workers, "tick"),
-    ("placement pass", Steps, "_place_all"), ("fleet plan", Fleet, "_plan"),
-    ("fleet returns", Fleet, "_return"), ("proof of polls", Requests, "_prove"),
-    ("view change", Workers, "on_view")]
+    ("batch", Engine, "handle"),
+    ("report", Workers, "on_report"),
+    ("message of a peer", Workers, "on_peer"),
+    ("look at leases", Workers, "tick"),
+    ("placement pass", Steps, "_place_all"),
+    ("fleet plan", Fleet, "_plan"),
+    ("fleet returns", Fleet, "_return"),
+    ("proof of polls", Requests, "_prove"),
+    ("view change", Workers, "on_view"),
+]
 
 
 class Timer:
@@ -53,13 +58,22 @@
 def body(world: World, number: int, service: bool) -> dict[str, Any]:
     """Services of whole machines, arrays of a few to 180 tasks."""
     rng = world.clock.rng
-    tasks = rng.choice([1, 1, 2, 4]) if service else min(180, 1 + int(rng.lognormvariate(3.2, .7)))
-    return {**world.spec(number), "shape": "daemon" if service else "batch", "crates": tasks,
-            "rank": "production" if service else "standard", "cores": 4.0 if service else 2.0,
-            "quay": None, "together": False, "scatter": False, "standby": not service,
-            "cargo": f"img-{rng.randint(0, 9)}", "eta_s": 30.0,
-            "sail_s": None if service else 90.0,
-            "run_s": 1e9 if service else rng.lognormvariate(3.4, 0.6)}
+    tasks = rng.choice([1, 1, 2, 4]) if service else min(180, 1 + int(rng.lognormvariate(3.2, 0.7)))
+    return {
+        **world.spec(number),
+        "shape": "daemon" if service else "batch",
+        "crates": tasks,
+        "rank": "production" if service else "standard",
+        "cores": 4.0 if service else 2.0,
+        "quay": None,
+        "together": False,
+        "scatter": False,
+        "standby": not service,
+        "cargo": f"img-{rng.randint(0, 9)}",
+        "eta_s": 30.0,
+        "sail_s": None if service else 90.0,
+        "run_s": 1e9 if service else rng.lognormvariate(3.4, 0.6),
+    }
 
 
 def play(machines: int) -> World:
@@ -85,13 +99,17 @@
     for machines in sizes:
         timers = {label: Timer(owner, name) for label, owner, name in WORK}
         world = play(machines)
-        print(f"{machines} machines at most, {len(world.cloud.workers)} up, "
-              f"{len(world.judge.jobs)} jobs, {world.judge.starts} tasks started, "
-              f"{world.state.refused_writes} writes refused, broken: {world.judge.broken}")
+        print(
+            f"{machines} machines at most, {len(world.cloud.workers)} up, "
+            f"{len(world.judge.jobs)} jobs, {world.judge.starts} tasks started, "
+            f"{world.state.refused_writes} writes refused, broken: {world.judge.broken}"
+        )
         for label, timer in timers.items():
             mean = timer.seconds / max(1, timer.calls)
-            print(f"  {label:18} {timer.calls:7} calls, mean {1e6 * mean:8.0f} us, "
-                  f"longest {1e3 * timer.longest:7.1f} ms")
+            print(
+                f"  {label:18} {timer.calls:7} calls, mean {1e6 * mean:8.0f} us, "
+                f"longest {1e3 * timer.longest:7.1f} ms"
+            )
         share = timers["batch"].seconds / SECONDS / len(world.names)
         print(f"  a controller took {share:.3f} s of processor time a second")
 
--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -110,13 +110,27 @@
 
     def report(self) -> dict[str, Any]:
         self.seq += 1
-        return {"dockhand": self.row["id"], "addr": self.row["addr"], "hull": self.row["hull"],
-                "quay": self.row["quay"], "standby": self.row["standby"], "shift": self.session,
-                "tally": self.seq, "warrant": self.token, "recall_s": None,
-                "crates": [{"crate": name, "try": attempt, "status": t["status"],
-                            **({"cause": t["cause"]} if t["status"] == "exited" else {}),
-                           **({"stored": True} if t.get("stored") else {})}
-                           for (name, attempt), t in self.tasks.items()]}
+        return {
+            "dockhand": self.row["id"],
+            "addr": self.row["addr"],
+            "hull": self.row["hull"],
+            "quay": self.row["quay"],
+            "standby": self.row["standby"],
+            "shift": self.session,
+            "tally": self.seq,
+            "warrant": self.token,
+            "recall_s": None,
+            "crates": [
+                {
+                    "crate": name,
+                    "try": attempt,
+                    "status": t["status"],
+                    **({"cause": t["cause"]} if t["status"] == "exited" else {}),
+                    **({"stored": True} if t.get("stored") else {}),
+                }
+                for (name, attempt), t in self.tasks.items()
+            ],
+        }
 
     def body(self) -> bytes:
         return json.dumps(self.report()).encode()
@@ -179,8 +193,7 @@
         task = self.tasks[key]
         job = task["job"]
         if task["status"] == "running" and job["stow_s"] and mooring_s >= job["lash_s"]:
-            task.update(status="saving", halted=self.clock.now,
-                        at=self.clock.now + job["lash_s"])
+            task.update(status="saving", halted=self.clock.now, at=self.clock.now + job["lash_s"])
             self.due = 0.0
         elif task["status"] != "saving" or not mooring_s:
             self._exit(key, "stopped")
@@ -211,8 +224,9 @@
             return
         answer(200, self.report())
 
-    def orders(self, body: dict[str, Any], answer: Callable[[int, Any], None],
-               held: bool = False) -> None:
+    def orders(
+        self, body: dict[str, Any], answer: Callable[[int, Any], None], held: bool = False
+    ) -> None:
         if not self.alive:
             return
         if self.clock.now < self.hung_until:
@@ -251,13 +265,17 @@
         self._photograph()
 
     def _photograph(self) -> None:
-        rows = [dict(row, age_s=self.clock.now - row["born"])
-                for row in self.machines.values() if not row.get("taken")]
+        rows = [
+            dict(row, age_s=self.clock.now - row["born"])
+            for row in self.machines.values()
+            if not row.get("taken")
+        ]
         self.old = [*self.old[-4:], rows]
         self.clock.after(1.0, self._photograph)
 
-    def request(self, node: str, method: str, path: str, body: bytes,
-                answer: Callable[[int, Any], None]) -> None:
+    def request(
+        self, node: str, method: str, path: str, body: bytes, answer: Callable[[int, Any], None]
+    ) -> None:
         if self.clock.now < self.out_until:
             answer(503, {"error": "trouble"})
         elif path == "/machine_types":
@@ -281,10 +299,16 @@
 
     def _rent(self, request: dict[str, Any], answer: Callable[[int, Any], None]) -> None:
         if request["charter"] not in self.rentals:
-            live = [(row["quay"], row["standby"]) for row in self.machines.values()
-                    if row["status"] != "failed"]
-            count = min(request["count"], self.capacity - len(live), self.of_kind - live.count(
-                (request["quay"], request["standby"])))
+            live = [
+                (row["quay"], row["standby"])
+                for row in self.machines.values()
+                if row["status"] != "failed"
+            ]
+            count = min(
+                request["count"],
+                self.capacity - len(live),
+                self.of_kind - live.count((request["quay"], request["standby"])),
+            )
             if count <= 0:
                 answer(503, {"error": "no capacity"})
                 return
@@ -293,10 +317,15 @@
                 name = f"vm-{self.clock.count:06d}{len(names):02d}"
                 names.append(name)
                 self.machines[name] = {
-                    "id": name, "addr": f"10.9.{len(self.machines) // 250}."
+                    "id": name,
+                    "addr": f"10.9.{len(self.machines) // 250}."
                     f"{len(self.machines) % 250}:{9000 + self.clock.count % 999}",
-                    "hull": request["hull"], "quay": request["quay"],
-                    "standby": request["standby"], "status": "starting", "born": self.clock.now}
+                    "hull": request["hull"],
+                    "quay": request["quay"],
+                    "standby": request["standby"],
+                    "status": "starting",
+                    "born": self.clock.now,
+                }
                 self.clock.after(3 + 4 * self.clock.rng.random(), lambda name=name: self._up(name))
             self.rentals[request["charter"]] = names
         answer(200, {"dockhands": self.rentals[request["charter"]]})
