--- a/tests/standins/meetings.py
+++ b/tests/standins/meetings.py
@@ -17,10 +17,28 @@
 Missing = Callable[[], list[str]]
 Meeting = Callable[[World], Missing]
 OUTAGE_S = CANCEL_S + 4.0
-PLAIN = {"berth": "arr", "owner": "red", "shape": "batch", "rank": "standard", "crates": 2,
-         "cores": 1.0, "cards": 0.0, "memory_gb": 2.0, "cargo": "img-0", "image_gb": 1.0,
-         "hulls": None, "quay": None, "together": False, "scatter": False, "standby": True,
-         "eta_s": 20.0, "stow_s": 0.0, "lash_s": 0.0, "sail_s": 90.0, "run_s": 20.0}
+PLAIN = {
+    "berth": "arr",
+    "owner": "red",
+    "shape": "batch",
+    "rank": "standard",
+    "crates": 2,
+    "cores": 1.0,
+    "cards": 0.0,
+    "memory_gb": 2.0,
+    "cargo": "img-0",
+    "image_gb": 1.0,
+    "hulls": None,
+    "quay": None,
+    "together": False,
+    "scatter": False,
+    "standby": True,
+    "eta_s": 20.0,
+    "stow_s": 0.0,
+    "lash_s": 0.0,
+    "sail_s": 90.0,
+    "run_s": 20.0,
+}
 
 
 def submit(world: World, cancel: float | None = None, **changes: Any) -> str:
@@ -28,8 +46,9 @@
     job = f"job-{len(world.judge.jobs) + 1:06d}"
     spec = {**PLAIN, **changes, "id": job}
     if spec["shape"] == "daemon":
-        spec.update(berth="svc", rank="production", standby=False, eta_s=0.0, sail_s=None,
-                    run_s=1e9)
+        spec.update(
+            berth="svc", rank="production", standby=False, eta_s=0.0, sail_s=None, run_s=1e9
+        )
     world.submit(spec, cancel)
     return job
 
@@ -48,10 +67,16 @@
 
     def more() -> None:
         if world.clock.now < until:
-            submit(world, crates=rng.randint(1, 3), run_s=3 + rng.random() * 20,
-                   owner=rng.choice(["red", "blue"]), cargo=f"img-{rng.randint(0, 2)}",
-                   rank=rng.choice(["standard", "best_effort", "urgent"]),
-                   quay=rng.choice([None, None, "a"]), standby=rng.random() < 0.7)
+            submit(
+                world,
+                crates=rng.randint(1, 3),
+                run_s=3 + rng.random() * 20,
+                owner=rng.choice(["red", "blue"]),
+                cargo=f"img-{rng.randint(0, 2)}",
+                rank=rng.choice(["standard", "best_effort", "urgent"]),
+                quay=rng.choice([None, None, "a"]),
+                standby=rng.random() < 0.7,
+            )
             world.clock.after(2 + 5 * rng.random(), more)
 
     world.clock.after(6.0, more)
@@ -61,8 +86,10 @@
 def long_jobs(world: World, count: int, **changes: Any) -> None:
     """Arrays that are there to be called off."""
     for number in range(count):
-        submit(world, **{"run_s": 200.0, "cores": 0.5,
-                         "owner": "red" if number % 2 else "blue", **changes})
+        submit(
+            world,
+            **{"run_s": 200.0, "cores": 0.5, "owner": "red" if number % 2 else "blue", **changes},
+        )
 
 
 def others(world: World, node: str) -> list[str]:
@@ -77,21 +104,33 @@
 
 def confirmed(world: World, since: float, until: float) -> list[str]:
     """Jobs whose user was told between these times that they are cancelled."""
-    return [job for job, (state, at) in world.judge.final.items()
-            if state == "withdrawn" and since <= at <= until]
+    return [
+        job
+        for job, (state, at) in world.judge.final.items()
+        if state == "withdrawn" and since <= at <= until
+    ]
 
 
 def some(world: World, count: int) -> list[str]:
     """Machines that run tasks, drawn."""
-    busy = sorted(name for name, worker in world.cloud.workers.items()
-                  if any(row["status"] == "running" for row in worker.tasks.values()))
+    busy = sorted(
+        name
+        for name, worker in world.cloud.workers.items()
+        if any(row["status"] == "running" for row in worker.tasks.values())
+    )
     return world.clock.rng.sample(busy, min(count, len(busy)))
 
 
 def of_jobs(world: World, jobs: list[str]) -> list[str]:
     """Machines that run tasks of these jobs."""
-    return sorted({machine for task, places in world.judge.on.items()
-                   if task.partition("/")[0] in jobs for machine in places})
+    return sorted(
+        {
+            machine
+            for task, places in world.judge.on.items()
+            if task.partition("/")[0] in jobs
+            for machine in places
+        }
+    )
 
 
 def cancels(world: World, at: list[float], count: int = 1, hang_s: float = 0.0) -> None:
@@ -113,33 +152,50 @@
     """A zone with workers and a controller is cut off for longer than the lease."""
     clock, now, length = world.clock, world.clock.now, LEASE_S + 8.0
     world.cut_zone("a", length, clock.rng.random() < 0.5)
-    inside = [name for name, worker in world.cloud.workers.items()
-              if worker.row["quay"] == "a" and worker.tasks]
+    inside = [
+        name
+        for name, worker in world.cloud.workers.items()
+        if worker.row["quay"] == "a" and worker.tasks
+    ]
     cancels(world, [0.5, 6.0], 2)
-    return lambda: asked({
-        "tasks inside": bool(inside),
-        "a cancellation meanwhile": bool(confirmed(world, now, now + length))})
+    return lambda: asked(
+        {
+            "tasks inside": bool(inside),
+            "a cancellation meanwhile": bool(confirmed(world, now, now + length)),
+        }
+    )
 
 
 def limit_and_leader(world: World) -> Missing:
     """A team is at its limit when the leader changes, machines can't be asked, and one of
     its jobs is called off."""
     clock, now = world.clock, world.clock.now
-    used = sum(world.judge.jobs[task.partition("/")[0]]["cores"] for task in world.judge.on
-               if world.judge.jobs[task.partition("/")[0]]["owner"] == "red")
+    used = sum(
+        world.judge.jobs[task.partition("/")[0]]["cores"]
+        for task in world.judge.on
+        if world.judge.jobs[task.partition("/")[0]]["owner"] == "red"
+    )
     machines = some(world, 4)
     clock.cut(set(machines), set(world.names), LEASE_S + 4.0, clock.rng.random() < 0.5)
     leader = world.leader()
     clock.after(0.5, lambda: world.nodes[leader].crash(5.0))
-    jobs = sorted({task.partition("/")[0] for task, places in world.judge.on.items()
-                   if set(places) & set(machines)
-                   and world.judge.jobs[task.partition("/")[0]]["owner"] == "red"})
+    jobs = sorted(
+        {
+            task.partition("/")[0]
+            for task, places in world.judge.on.items()
+            if set(places) & set(machines)
+            and world.judge.jobs[task.partition("/")[0]]["owner"] == "red"
+        }
+    )
     for place, job in enumerate(jobs[:3]):
         clock.after(0.6 + place, lambda job=job: world.cancel(job))
-    return lambda: asked({
-        "the team at its limit": used >= world.judge.limits["red"] - 1.0,
-        "the leader changed": any(now < at < now + 8 for at, _ in world.leaders),
-        "a cancellation meanwhile": bool(confirmed(world, now, now + LEASE_S + 4))})
+    return lambda: asked(
+        {
+            "the team at its limit": used >= world.judge.limits["red"] - 1.0,
+            "the leader changed": any(now < at < now + 8 for at, _ in world.leaders),
+            "a cancellation meanwhile": bool(confirmed(world, now, now + LEASE_S + 4)),
+        }
+    )
 
 
 def leader_ends_unreached(world: World) -> Missing:
@@ -151,10 +207,13 @@
     clock.cut(set(world.names), set(machines[3:]), LEASE_S + 4.0, False, one_way=True)
     clock.after(0.3, lambda: world.nodes[leader].crash(clock.rng.choice([0.4, 6.0])))
     cancels(world, [1.0, 4.0], 2)
-    return lambda: asked({
-        "machines": len(machines) > 3,
-        "the leader changed": any(now < at < now + 8 for at, _ in world.leaders),
-        "a cancellation meanwhile": bool(confirmed(world, now, now + LEASE_S))})
+    return lambda: asked(
+        {
+            "machines": len(machines) > 3,
+            "the leader changed": any(now < at < now + 8 for at, _ in world.leaders),
+            "a cancellation meanwhile": bool(confirmed(world, now, now + LEASE_S)),
+        }
+    )
 
 
 def all_away(world: World) -> Missing:
@@ -168,12 +227,20 @@
         clock.after(1.0, lambda node=node: node.crash(LEASE_S + 2 + 3 * clock.rng.random()))
     sessions = {name: worker.session for name, worker in world.cloud.workers.items()}
     ran_out: list[str] = []
-    clock.after(LEASE_S + 2.9, lambda: ran_out.extend(
-        name for name, worker in world.cloud.workers.items()
-        if worker.session > sessions.get(name, 1)))
-    return lambda: asked({
-        "leases ran out": bool(ran_out),
-        "a cancellation just before": bool(confirmed(world, now, now + 2))})
+    clock.after(
+        LEASE_S + 2.9,
+        lambda: ran_out.extend(
+            name
+            for name, worker in world.cloud.workers.items()
+            if worker.session > sessions.get(name, 1)
+        ),
+    )
+    return lambda: asked(
+        {
+            "leases ran out": bool(ran_out),
+            "a cancellation just before": bool(confirmed(world, now, now + 2)),
+        }
+    )
 
 
 def slow_then_out(world: World) -> Missing:
@@ -184,8 +251,7 @@
     clock.after(4.0, lambda: world.state.shut_out.update({world.leader(): clock.now + 6.0}))
     clock.after(9.0, lambda: world.state.outage(OUTAGE_S))
     cancels(world, [0.5, 2.0, 4.2, 6.0, 8.8], 1)
-    return lambda: asked({
-        "cancellations": len(confirmed(world, now, now + 10)) > 1})
+    return lambda: asked({"cancellations": len(confirmed(world, now, now + 10)) > 1})
 
 
 def late_writes(world: World) -> Missing:
@@ -195,12 +261,17 @@
     clock.after(25.0, lambda: setattr(world.state, "late_writes", 0.0))
     cancels(world, [1.0, 4.0, 9.0, 14.0, 19.0], 1)
     clock.after(12.0, lambda: world.nodes[world.leader()].crash(0.5))
-    return lambda: asked({
-        "one late and carried out": any(late.overtaken and late.status == 200
-                                        for late in world.state.late),
-        "one late and void": any(late.overtaken and late.status == 409
-                                 for late in world.state.late),
-        "a cancellation": bool(confirmed(world, now, now + 30))})
+    return lambda: asked(
+        {
+            "one late and carried out": any(
+                late.overtaken and late.status == 200 for late in world.state.late
+            ),
+            "one late and void": any(
+                late.overtaken and late.status == 409 for late in world.state.late
+            ),
+            "a cancellation": bool(confirmed(world, now, now + 30)),
+        }
+    )
 
 
 def zone_bound(world: World) -> Missing:
@@ -208,8 +279,11 @@
     clock = world.clock
     for owner in ("red", "blue"):
         submit(world, crates=3, cores=2.0, together=True, run_s=30.0, owner=owner)
-    bound = [job for job, spec in world.judge.jobs.items()
-             if spec["quay"] or spec["together"] or spec["scatter"]]
+    bound = [
+        job
+        for job, spec in world.judge.jobs.items()
+        if spec["quay"] or spec["together"] or spec["scatter"]
+    ]
     lost: list[str] = []
 
     def strike(kind: str) -> None:
@@ -248,9 +322,12 @@
         clock.after(46.0 + 4 * place, lambda: world.nodes[world.leader()].crash(0.4))
     clock.after(45.0, lambda: world.state.outage(16.0))
     cancels(world, [5.0, 23.0, 44.0, 47.0, 60.0, 80.0, 100.0], 1)
-    return lambda: asked({
-        "ten changes": sum(now < at <= now + 120 for at, _ in world.leaders) >= 10,
-        "cancellations": len(confirmed(world, now, now + 120)) > 3})
+    return lambda: asked(
+        {
+            "ten changes": sum(now < at <= now + 120 for at, _ in world.leaders) >= 10,
+            "cancellations": len(confirmed(world, now, now + 120)) > 3,
+        }
+    )
 
 
 def apart_leader(world: World) -> Missing:
@@ -264,26 +341,35 @@
     cancelled: list[str] = []
     for time in (0.3, 1.5, 4.0, 8.0):
         clock.after(time, lambda: cancelled.extend(world.cancel_now(2)))
-    return lambda: asked({
-        "machines of the old leader": bool(theirs),
-        "another leader": any(now < at < now + 20 and not who.startswith(leader)
-                              for at, who in world.leaders),
-        "cancellations through others": bool(confirmed(world, now, now + 20))})
+    return lambda: asked(
+        {
+            "machines of the old leader": bool(theirs),
+            "another leader": any(
+                now < at < now + 20 and not who.startswith(leader) for at, who in world.leaders
+            ),
+            "cancellations through others": bool(confirmed(world, now, now + 20)),
+        }
+    )
 
 
 def far_apart(world: World) -> Missing:
     """Jobs of two or three tasks end far apart across changes of leader."""
     clock, now = world.clock, world.clock.now
-    jobs = [submit(world, crates=3, runs={0: 4.0, 1: 18.0, 2: 34.0}),
-            submit(world, crates=2, runs={0: 3.0, 1: 30.0}, owner="blue", together=True),
-            submit(world, crates=3, runs={0: 30.0, 1: 4.0, 2: 15.0}, scatter=True)]
+    jobs = [
+        submit(world, crates=3, runs={0: 4.0, 1: 18.0, 2: 34.0}),
+        submit(world, crates=2, runs={0: 3.0, 1: 30.0}, owner="blue", together=True),
+        submit(world, crates=3, runs={0: 30.0, 1: 4.0, 2: 15.0}, scatter=True),
+    ]
     for time, away in ((9.0, 0.4), (17.0, 5.0), (26.0, 0.4), (32.0, 5.0)):
         clock.after(time, lambda away=away: world.nodes[world.leader()].crash(away))
     clock.after(21.0, lambda: world.state.shut_out.update({world.leader(): clock.now + 6.0}))
     clock.after(24.0, lambda: void([world.cloud.kill(name) for name in some(world, 1)]))
-    return lambda: asked({
-        "leaders changed": sum(now < at < now + 36 for at, _ in world.leaders) > 2,
-        "their ends": all(world.judge.final.get(job, ("",))[0] == "done" for job in jobs)})
+    return lambda: asked(
+        {
+            "leaders changed": sum(now < at < now + 36 for at, _ in world.leaders) > 2,
+            "their ends": all(world.judge.final.get(job, ("",))[0] == "done" for job in jobs),
+        }
+    )
 
 
 def late_reports(world: World) -> Missing:
@@ -300,10 +386,15 @@
     clock.after(20.0, lambda: world.nodes[world.leader()].crash(6.0))
     cancels(world, [2.0, 8.0, 15.0], 1)
 
-    return lambda: asked({
-        **{age: any(kind == age for _, _, kind in world.copied[first:])
-           for age in ("session", "gone", "token")},
-        "a cancellation": bool(confirmed(world, now, now + 20))})
+    return lambda: asked(
+        {
+            **{
+                age: any(kind == age for _, _, kind in world.copied[first:])
+                for age in ("session", "gone", "token")
+            },
+            "a cancellation": bool(confirmed(world, now, now + 20)),
+        }
+    )
 
 
 def gap_at_once(world: World) -> Missing:
@@ -334,9 +425,12 @@
     clock.after(34.0, lambda: crash[second](0.2))
     clock.after(34.05, lambda: crash[third](0.7))
     cancels(world, [0.4, 15.4, 20.9, 23.9, 25.6, 33.5], 1)
-    return lambda: asked({
-        "leaders changed": sum(now < at < now + 36 for at, _ in world.leaders) > 3,
-        "cancellations": len(confirmed(world, now, now + 30)) > 1})
+    return lambda: asked(
+        {
+            "leaders changed": sum(now < at < now + 36 for at, _ in world.leaders) > 3,
+            "cancellations": len(confirmed(world, now, now + 30)) > 1,
+        }
+    )
 
 
 def held_commands(world: World) -> Missing:
@@ -346,14 +440,17 @@
     world.late_orders = 0.5
     clock.after(20.0, lambda: setattr(world, "late_orders", 0.0))
     cancels(world, [1.0, 7.0, 14.0], 2, 8.0)
-    clock.after(4.0, lambda: void([world.cloud.workers[name].hang(7.0)
-                                   for name in some(world, 3)]))
+    clock.after(4.0, lambda: void([world.cloud.workers[name].hang(7.0) for name in some(world, 3)]))
     clock.after(5.0, lambda: world.nodes[world.leader()].crash(0.4))
     clock.after(10.0, lambda: clock.cut(set(some(world, 3)), set(world.names), 6.0, True))
-    return lambda: asked({
-        "commands executed when it went on": any(
-            status == 200 for _, status in world.cloud.after_hang[before:]),
-        "cancellations": len(confirmed(world, now, now + 20)) > 2})
+    return lambda: asked(
+        {
+            "commands executed when it went on": any(
+                status == 200 for _, status in world.cloud.after_hang[before:]
+            ),
+            "cancellations": len(confirmed(world, now, now + 20)) > 2,
+        }
+    )
 
 
 def held_report(world: World) -> Missing:
@@ -361,8 +458,9 @@
     clock, now, leader = world.clock, world.clock.now, world.leader()
     first = len(world.copied)
     machines = some(world, 5)
-    clock.after(0.5, lambda: clock.cut(
-        set(machines), set(others(world, leader)), 9.0, True, one_way=True))
+    clock.after(
+        0.5, lambda: clock.cut(set(machines), set(others(world, leader)), 9.0, True, one_way=True)
+    )
 
     def copies() -> None:
         for name in machines:
@@ -375,10 +473,13 @@
     clock.after(1.0, lambda: world.nodes[leader].crash(5.0))
     clock.after(4.0, lambda: void([world.cloud.kill(name) for name in machines[:1]]))
     cancels(world, [2.0, 5.0], 2)
-    return lambda: asked({
-        "reports arrived late": len(world.copied) > first + 5,
-        "the leader changed": any(now < at < now + 8 for at, _ in world.leaders),
-        "a cancellation meanwhile": bool(confirmed(world, now, now + 9))})
+    return lambda: asked(
+        {
+            "reports arrived late": len(world.copied) > first + 5,
+            "the leader changed": any(now < at < now + 8 for at, _ in world.leaders),
+            "a cancellation meanwhile": bool(confirmed(world, now, now + 9)),
+        }
+    )
 
 
 def mute(world: World) -> Missing:
@@ -387,13 +488,15 @@
     machines = some(world, 6)
     for place, name in enumerate(machines):
         world.mute[name] = now + (LEASE_S + 6.0 if place % 2 else 6.0)
-    jobs = sorted(job for job, places in world.long_running().items()
-                  if set(places) & set(machines))
+    jobs = sorted(
+        job for job, places in world.long_running().items() if set(places) & set(machines)
+    )
     for place, job in enumerate(jobs[:3]):
         clock.after(1.0 + 2 * place, lambda job=job: world.cancel(job))
     clock.after(4.0, lambda: world.nodes[world.leader()].crash(0.4))
-    return lambda: asked({
-        "a job there was cancelled": bool(set(jobs) & set(confirmed(world, now, now + 9)))})
+    return lambda: asked(
+        {"a job there was cancelled": bool(set(jobs) & set(confirmed(world, now, now + 9)))}
+    )
 
 
 def more_than_room(world: World) -> Missing:
@@ -402,14 +505,29 @@
     clock.slow_links(set(world.cloud.workers) | {f"n{rng.randint(0, 2)}"}, 40.0, 0.8)
     waiting: list[int] = []
     for place in range(10):
-        clock.after(2.5 * place, lambda place=place: void(submit(
-            world, crates=rng.randint(2, 8), cores=rng.choice([1.0, 2.0]),
-            rank=["best_effort", "urgent", "standard"][place % 3], run_s=5 + 8 * rng.random(),
-            owner=rng.choice(["red", "blue"]), stow_s=rng.choice([0.0, 3.0]), lash_s=1.5)))
+        clock.after(
+            2.5 * place,
+            lambda place=place: void(
+                submit(
+                    world,
+                    crates=rng.randint(2, 8),
+                    cores=rng.choice([1.0, 2.0]),
+                    rank=["best_effort", "urgent", "standard"][place % 3],
+                    run_s=5 + 8 * rng.random(),
+                    owner=rng.choice(["red", "blue"]),
+                    stow_s=rng.choice([0.0, 3.0]),
+                    lash_s=1.5,
+                )
+            ),
+        )
     clock.after(12.0, lambda: void(submit(world, shape="daemon", crates=2, cores=4.0)))
     cancels(world, [10.0, 20.0, 30.0], 1)
-    clock.after(25.0, lambda: waiting.append(sum(
-        len(node.engine.replica.queued) for node in world.nodes.values())))
+    clock.after(
+        25.0,
+        lambda: waiting.append(
+            sum(len(node.engine.replica.queued) for node in world.nodes.values())
+        ),
+    )
     return lambda: asked({"work waits": bool(waiting and waiting[0] > 3)})
 
 
@@ -421,16 +539,32 @@
     world.at_end, world.poll_s = 1.0, 0.7
     clock.after(40.0, lambda: setattr(world, "at_end", 0.0))
     for place in range(24):
-        clock.after(1.2 * place, lambda: void(submit(
-            world, crates=rng.randint(1, 2), run_s=2 + 3 * rng.random(),
-            owner=rng.choice(["red", "blue"]))))
+        clock.after(
+            1.2 * place,
+            lambda: void(
+                submit(
+                    world,
+                    crates=rng.randint(1, 2),
+                    run_s=2 + 3 * rng.random(),
+                    owner=rng.choice(["red", "blue"]),
+                )
+            ),
+        )
 
     def missing() -> list[str]:
         ends = world.at_ends[first:]
-        states = {world.judge.final[job][0] for kind, job in ends
-                  if kind == "cancel" and job in world.judge.final}
-        return asked({"enough": len(ends) > 15, "all kinds": len({k for k, _ in ends}) == 3,
-                      "both outcomes": states == {"done", "withdrawn"}})
+        states = {
+            world.judge.final[job][0]
+            for kind, job in ends
+            if kind == "cancel" and job in world.judge.final
+        }
+        return asked(
+            {
+                "enough": len(ends) > 15,
+                "all kinds": len({k for k, _ in ends}) == 3,
+                "both outcomes": states == {"done", "withdrawn"},
+            }
+        )
 
     return missing
 
@@ -444,9 +578,12 @@
     clock.after(2.0 + late_s, lambda: world.state.outage(OUTAGE_S))
     cancels(world, [0.8, 1.2, 1.6], 2)
     theirs = owned(world, leader)
-    return lambda: asked({
-        "cancellations between refusal and outage": bool(confirmed(world, now, now + 2.2)),
-        "workers of the old leader": bool(theirs)})
+    return lambda: asked(
+        {
+            "cancellations between refusal and outage": bool(confirmed(world, now, now + 2.2)),
+            "workers of the old leader": bool(theirs),
+        }
+    )
 
 
 def gap_very_second(world: World) -> Missing:
@@ -455,12 +592,17 @@
     missing = gap(world)
     jobs = sorted(set(world.long_running()) - world.called_off)[-9:]
     world.called_off.update(jobs)
-    for time, job in zip((0.0, 0.003, 0.02, 0.1, 1.9, 1.95, 1.98, 1.99, 1.995), jobs,
-                         strict=False):
+    for time, job in zip((0.0, 0.003, 0.02, 0.1, 1.9, 1.95, 1.98, 1.99, 1.995), jobs, strict=False):
         clock.after(time, lambda job=job: world.cancel(job))
-    return lambda: missing() + asked({
-        "at the refusal": bool(confirmed(world, now, now + 0.7)),
-        "at the outage": bool(confirmed(world, now + 1.9, now + 2.3))})
+    return lambda: (
+        missing()
+        + asked(
+            {
+                "at the refusal": bool(confirmed(world, now, now + 0.7)),
+                "at the outage": bool(confirmed(world, now + 1.9, now + 2.3)),
+            }
+        )
+    )
 
 
 def gap_launch(world: World) -> Missing:
@@ -470,8 +612,10 @@
     jobs: list[str] = []
 
     def start() -> None:
-        jobs.extend(submit(world, owner=owner, run_s=300.0, cores=0.5, crates=3)
-                    for owner in ("red", "blue", "red", "blue"))
+        jobs.extend(
+            submit(world, owner=owner, run_s=300.0, cores=0.5, crates=3)
+            for owner in ("red", "blue", "red", "blue")
+        )
 
     start()
     missing: list[Missing] = []
@@ -479,9 +623,15 @@
     for place, job in enumerate(jobs):
         clock.after(1.6 + 0.2 * place, lambda job=job: world.cancel(job))
     clock.after(9.0, lambda: setattr(world, "late_orders", 0.0))
-    return lambda: missing[0]() + asked({
-        "launches held": bool(late), "their cancellations": bool(
-            set(jobs) & set(confirmed(world, now, now + 3.0)))})
+    return lambda: (
+        missing[0]()
+        + asked(
+            {
+                "launches held": bool(late),
+                "their cancellations": bool(set(jobs) & set(confirmed(world, now, now + 3.0))),
+            }
+        )
+    )
 
 
 def gap_silent(world: World) -> Missing:
@@ -508,29 +658,53 @@
     clock = world.clock
     missing = gap(world)
     cancels(world, [1.3], 2, 8.0)
-    clock.after(1.0, lambda: void([world.cloud.workers[name].hang(9.0)
-                                   for name in some(world, 4)]))
-    clock.after(14.0, lambda: void([world.cloud.workers[name].hang(9.0)
-                                    for name in some(world, 4)]))
+    clock.after(1.0, lambda: void([world.cloud.workers[name].hang(9.0) for name in some(world, 4)]))
+    clock.after(
+        14.0, lambda: void([world.cloud.workers[name].hang(9.0) for name in some(world, 4)])
+    )
     return missing
 
 
-MEETINGS: dict[str, Meeting] = {meeting.__name__: meeting for meeting in (
-    zone_cut, limit_and_leader, leader_ends_unreached, all_away, slow_then_out, late_writes,
-    zone_bound, ten_leaders, apart_leader, far_apart, late_reports, gap_at_once, hand_over,
-    held_commands, held_report, mute, more_than_room, at_the_end)}
-GAPS: dict[str, Meeting] = {meeting.__name__: meeting for meeting in (
-    gap, gap_very_second, gap_launch, gap_silent, gap_restart, gap_hang)}
-LENGTH_S = {"ten_leaders": 125.0, "slow_then_out": 42.0, **{name: 36.0 for name in GAPS},
-            "gap_at_once": 34.0}
+MEETINGS: dict[str, Meeting] = {
+    meeting.__name__: meeting
+    for meeting in (
+        zone_cut,
+        limit_and_leader,
+        leader_ends_unreached,
+        all_away,
+        slow_then_out,
+        late_writes,
+        zone_bound,
+        ten_leaders,
+        apart_leader,
+        far_apart,
+        late_reports,
+        gap_at_once,
+        hand_over,
+        held_commands,
+        held_report,
+        mute,
+        more_than_room,
+        at_the_end,
+    )
+}
+GAPS: dict[str, Meeting] = {
+    meeting.__name__: meeting
+    for meeting in (gap, gap_very_second, gap_launch, gap_silent, gap_restart, gap_hang)
+}
+LENGTH_S = {
+    "ten_leaders": 125.0,
+    "slow_then_out": 42.0,
+    **{name: 36.0 for name in GAPS},
+    "gap_at_once": 34.0,
+}
 BEGIN_S, USUAL_S, AFTER_S, PATIENCE_S, WAIT_S = 32.0, 40.0, 62.0, 160.0, 50.0
 """s; when the first meeting begins, how long most last, and how long a day goes on in
 peace, at least and until all arrays are done. No job may wait for WAIT_S then though it
 could run, nor be unheard of for so long, which is less than the rules allow."""
 
 
-def play(seed: int, *names: str, twice: bool = False, until: str = ""
-         ) -> tuple[World, list[str]]:
+def play(seed: int, *names: str, twice: bool = False, until: str = "") -> tuple[World, list[str]]:
     """A day with these meetings, all at about the same time, and what did not happen.
     `until`: the day is over as soon as this rule is broken."""
     world = World(seed, capacity=16)
@@ -544,8 +718,10 @@
     for begin in begins:
         clock.at(begin - 12.0, lambda: long_jobs(world, 12))
     if "limit_and_leader" in names:
-        clock.at(BEGIN_S - 14.0, lambda: void([submit(
-            world, crates=5, cores=1.0, run_s=40.0) for _ in range(5)]))
+        clock.at(
+            BEGIN_S - 14.0,
+            lambda: void([submit(world, crates=5, cores=1.0, run_s=40.0) for _ in range(5)]),
+        )
     missing: list[Missing] = []
     together = {**MEETINGS, **GAPS}
     for begin in begins:
@@ -574,11 +750,17 @@
     """Everything that the judge holds against the day."""
     judge: Judge = world.judge
     stored = {key.rpartition("/")[2] for key in world.state.rows}
-    return judge.broken + judge.day_end(judge.peace, known_s=WAIT_S) + [
-        f"unfinished: {job}" for job in world.unfinished()] + [
-        f"never refused: {what}" for what, status in judge.bad.items()
-        if what not in judge.bad_refused and status != 404] + [
-        f"stored: {what}" for what in judge.bad if what in stored]
+    return (
+        judge.broken
+        + judge.day_end(judge.peace, known_s=WAIT_S)
+        + [f"unfinished: {job}" for job in world.unfinished()]
+        + [
+            f"never refused: {what}"
+            for what, status in judge.bad.items()
+            if what not in judge.bad_refused and status != 404
+        ]
+        + [f"stored: {what}" for what in judge.bad if what in stored]
+    )
 
 
 def draw(seed: int) -> list[str]:
--- a/tests/standins/sockets.py
+++ b/tests/standins/sockets.py
@@ -84,30 +84,59 @@
         self.judge = Judge(self.clock, {"red": 24.0}, 25.0)
         self.state, self.cloud = State(self.clock), Cloud(self, TYPES, 4)
         ports = [await self._serve(target.request) for target in (self.state, self.cloud)]
-        settings = parse(json.dumps({
-            "node_name": "solo", "public_addr": self.api, "back": f"127.0.0.1:{free_port()}",
-            "external": {"state": f"127.0.0.1:{ports[0]}", "cloud": f"127.0.0.1:{ports[1]}"},
-            "cluster": {"size": 1, "teams": [{"name": "red", "cpus": 8, "cpus_max": 24}],
+        settings = parse(
+            json.dumps(
+                {
+                    "node_name": "solo",
+                    "public_addr": self.api,
+                    "back": f"127.0.0.1:{free_port()}",
+                    "external": {
+                        "state": f"127.0.0.1:{ports[0]}",
+                        "cloud": f"127.0.0.1:{ports[1]}",
+                    },
+                    "cluster": {
+                        "size": 1,
+                        "teams": [{"name": "red", "cpus": 8, "cpus_max": 24}],
                         "workers": {"report_s": 1.5, "lease_s": 10.0, "cancel_s": 25.0},
                         "state": {"rps": 100, "write_rps": 20, "value_kb": 8, "txn_ops": 12},
-                        "cloud": {"rps": 5, "list_lag_s": 3}}}).encode())
+                        "cloud": {"rps": 5, "list_lag_s": 3},
+                    },
+                }
+            ).encode()
+        )
         await App(settings).run()
 
     async def _serve(self, target: Any) -> int:
         def handler(method: str, path: str, query: str, body: bytes, answer: Answer) -> None:
             url = f"{path}?{query}" if query else path
-            target("solo", method, url, body, lambda status, reply: answer(
-                status, json.dumps(reply).encode(), None))
+            target(
+                "solo",
+                method,
+                url,
+                body,
+                lambda status, reply: answer(status, json.dumps(reply).encode(), None),
+            )
 
         return await Server(handler, 100).start("127.0.0.1", 0)
 
-    def call_node(self, source: str, node: str, method: str, path: str, body: bytes,
-                  answer: Callable[[int, Any], None]) -> None:
+    def call_node(
+        self,
+        source: str,
+        node: str,
+        method: str,
+        path: str,
+        body: bytes,
+        answer: Callable[[int, Any], None],
+    ) -> None:
         """A worker's report, over a real socket."""
+
         async def call() -> None:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(f"{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Length: "
-                         f"{len(body)}\r\n\r\n".encode() + body)
+            writer.write(
+                f"{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Length: "
+                f"{len(body)}\r\n\r\n".encode()
+                + body
+            )
             head, _, payload = (await reader.read()).partition(b"\r\n\r\n")
             writer.close()
             answer(int(head.split()[1]), json.loads(payload))
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -79,8 +79,11 @@
         that is refused alone."""
         now = self.clock.now
         for watcher in list(self.watchers):
-            if now < max(self.out_until, self.shut_out.get(watcher.node, 0.0),
-                         self.silent.get(watcher.node, 0.0)):
+            if now < max(
+                self.out_until,
+                self.shut_out.get(watcher.node, 0.0),
+                self.silent.get(watcher.node, 0.0),
+            ):
                 continue
             events = self._events(watcher.prefix, watcher.since)
             if events or watcher.until <= now:
@@ -109,25 +112,36 @@
         for write in writes:
             if "set" in write:
                 self.rows[write["set"]] = (write["data"], self.revision, write.get("permit"))
-                self.history.append({"set": write["set"], "data": write["data"],
-                                     "stamp": self.revision})
+                self.history.append(
+                    {"set": write["set"], "data": write["data"], "stamp": self.revision}
+                )
             elif self.rows.pop(write["drop"], None) is not None:
                 self.history.append({"drop": write["drop"], "stamp": self.revision})
         self._tell_watchers()
 
     def _events(self, prefix: str, since: int) -> list[dict[str, Any]]:
         first = bisect_right(self.history, since, key=lambda event: event["stamp"])
-        return [event for event in self.history[first:]
-                if event.get("set", event.get("drop", "")).startswith(prefix)]
+        return [
+            event
+            for event in self.history[first:]
+            if event.get("set", event.get("drop", "")).startswith(prefix)
+        ]
 
     def request(self, node: str, method: str, path: str, body: bytes, answer: Answer) -> None:
         if self.clock.now >= self.slow_until:
             self._request(node, method, path, body, answer)
             return
         rng, delay = self.clock.rng, self.slow_s
-        self.clock.after(rng.random() * delay, lambda: self._request(
-            node, method, path, body,
-            lambda *reply: self.clock.after(rng.random() * delay, lambda: answer(*reply))))
+        self.clock.after(
+            rng.random() * delay,
+            lambda: self._request(
+                node,
+                method,
+                path,
+                body,
+                lambda *reply: self.clock.after(rng.random() * delay, lambda: answer(*reply)),
+            ),
+        )
 
     def _request(self, node: str, method: str, path: str, body: bytes, answer: Answer) -> None:
         if self.clock.now < max(self.out_until, self.shut_out.get(node, 0.0)):
@@ -137,23 +151,37 @@
         args = {k: v[0] for k, v in parse_qs(query).items()}
         if url == "/txn":
             txn = json.loads(body)
-            if self.late_writes and txn["writes"] and (
-                    self.clock.rng.random() < self.late_writes):
+            if self.late_writes and txn["writes"] and (self.clock.rng.random() < self.late_writes):
                 self._hold_back(node, txn)
             else:
                 self._txn(node, txn, answer)
         elif url == "/follow":
             since = int(args["since"])
-            self.watchers.append(Watcher(args["under"], since, self.clock.now
-                                         + int(args["block_ms"]) / 1000, answer, node))
+            self.watchers.append(
+                Watcher(
+                    args["under"],
+                    since,
+                    self.clock.now + int(args["block_ms"]) / 1000,
+                    answer,
+                    node,
+                )
+            )
             self._tell_watchers()
         elif url == "/keys":
-            keys = sorted(k for k in self.rows
-                          if k.startswith(args["under"]) and k > args.get("since", ""))
-            page = keys[:int(args["limit"])]
-            answer(200, {"rows": [{"key": k, "data": self.rows[k][0], "stamp": self.rows[k][1]}
-                                  for k in page],
-                         "has_next": len(keys) > len(page), "ledger": self.revision})
+            keys = sorted(
+                k for k in self.rows if k.startswith(args["under"]) and k > args.get("since", "")
+            )
+            page = keys[: int(args["limit"])]
+            answer(
+                200,
+                {
+                    "rows": [
+                        {"key": k, "data": self.rows[k][0], "stamp": self.rows[k][1]} for k in page
+                    ],
+                    "has_next": len(keys) > len(page),
+                    "ledger": self.revision,
+                },
+            )
         elif url.startswith("/keys/"):
             row = self.rows.get(url[6:])
             if row is None:
@@ -182,8 +210,12 @@
             answer(200, {})
 
     def _hold_back(self, node: str, txn: dict[str, Any]) -> None:
-        late = LateWrite(node, [w.get("set", w.get("drop")) for w in txn["writes"]],
-                         self.clock.now, self.carried_out.get(node, 0))
+        late = LateWrite(
+            node,
+            [w.get("set", w.get("drop")) for w in txn["writes"]],
+            self.clock.now,
+            self.carried_out.get(node, 0),
+        )
         self.late.append(late)
 
         def answered(status: int, _: Any) -> None:
@@ -200,9 +232,14 @@
         self.clock.after(2 + 10 * self.clock.rng.random(), arrive)
 
     def _txn(self, node: str, txn: dict[str, Any], answer: Answer) -> None:
-        if len(txn["writes"]) > self.txn_ops or len(txn["if"]) > 4 * self.txn_ops or any(
+        if (
+            len(txn["writes"]) > self.txn_ops
+            or len(txn["if"]) > 4 * self.txn_ops
+            or any(
                 len(json.dumps(w.get("data"), separators=(",", ":"))) > self.value_kb * 1024
-                for w in txn["writes"]):
+                for w in txn["writes"]
+            )
+        ):
             self.too_large += 1
             answer(400, {"error": "too large"})
             return
@@ -214,12 +251,16 @@
             answer(429, {})
             return
         self.level -= len(txn["writes"])
-        if any(w.get("permit") is not None and w["permit"] not in self.leases
-               for w in txn["writes"]):
+        if any(
+            w.get("permit") is not None and w["permit"] not in self.leases for w in txn["writes"]
+        ):
             answer(400, {"error": "no such lease"})
             return
-        failed = [c["key"] for c in txn["if"]
-                  if (self.rows[c["key"]][1] if c["key"] in self.rows else 0) != c["stamp"]]
+        failed = [
+            c["key"]
+            for c in txn["if"]
+            if (self.rows[c["key"]][1] if c["key"] in self.rows else 0) != c["stamp"]
+        ]
         if failed:
             answer(409, {"failed": failed, "ledger": self.revision})
             return
--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -15,10 +15,18 @@
 from types import ModuleType
 
 ROOT = Path(__file__).parents[2]
-PARTS = {"constants": "constants", "wire": "wire", "settings": "settings",
-         "engine": "core.engine", "events": "core.events", "jobs": "core.jobs",
-         "replica": "core.replica", "store": "adapters.store", "cloud": "adapters.cloud",
-         "users": "adapters.users"}
+PARTS = {
+    "constants": "constants",
+    "wire": "wire",
+    "settings": "settings",
+    "engine": "core.engine",
+    "events": "core.events",
+    "jobs": "core.jobs",
+    "replica": "core.replica",
+    "store": "adapters.store",
+    "cloud": "adapters.cloud",
+    "users": "adapters.users",
+}
 
 
 @dataclass(frozen=True)
@@ -38,8 +46,9 @@
 
 
 def _import() -> Code:
-    return Code(**{part: importlib.import_module(f"appledock.{module}")
-                   for part, module in PARTS.items()})
+    return Code(
+        **{part: importlib.import_module(f"appledock.{module}") for part, module in PARTS.items()}
+    )
 
 
 @cache
@@ -52,10 +61,17 @@
     """The version that `deploy/service.toml` names as the one in production."""
     present()
     deploy = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())
-    packed = subprocess.run(["git", "archive", deploy["production"], "appledock"], cwd=ROOT,
-                            check=True, capture_output=True).stdout
-    ours = {name: module for name, module in sys.modules.items()
-            if name.partition(".")[0] == "appledock"}
+    packed = subprocess.run(
+        ["git", "archive", deploy["production"], "appledock"],
+        cwd=ROOT,
+        check=True,
+        capture_output=True,
+    ).stdout
+    ours = {
+        name: module
+        for name, module in sys.modules.items()
+        if name.partition(".")[0] == "appledock"
+    }
     with tempfile.TemporaryDirectory() as folder:
         with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
             archive.extractall(folder, filter="data")
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -24,9 +24,20 @@
 ZONES = {"n0": "a", "n1": "b", "n2": "b"}
 """controller -> its zone"""
 TEAMS = {"red": (12.0, 24.0), "blue": (8.0, 20.0)}
-TYPES = [{"name": "h4", "cores": 4, "cards": 0, "memory_gb": 16, "local_gb": 50,
-          "pull_gb_per_s": 0.5, "hourly": 0.2, "market_price": 0.1, "boot_s": 5,
-          "quays": ["a", "b"]}]
+TYPES = [
+    {
+        "name": "h4",
+        "cores": 4,
+        "cards": 0,
+        "memory_gb": 16,
+        "local_gb": 50,
+        "pull_gb_per_s": 0.5,
+        "hourly": 0.2,
+        "market_price": 0.1,
+        "boot_s": 5,
+        "quays": ["a", "b"],
+    }
+]
 
 Answer = Callable[[int, Any], None]
 
@@ -43,22 +54,41 @@
 def settings_file(name: str, names: list[str], announced: dict[str, Any] | None = None) -> bytes:
     """The platform's file for one controller of the simulated cluster."""
     limits = {"rps": 100.0, "write_rps": 20.0, "value_kb": 8.0, "txn_ops": 12}
-    return json.dumps({
-        "node_name": name, "location": "a", "public_addr": "10.0.0.1:8080",
-        "back": "10.0.0.1:8081", "unknown": 1,
-        "peers": [{"node_name": n, "location": "a", "endpoint": "10.0.0.2:8081"}
-                  for n in names if n != name],
-        "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
-        "cluster": {"size": len(names), "zones": ["a", "b"],
-                    "teams": [{"name": t, "cpus": g, "cpus_max": m, "gpus": 0, "gpus_max": 0}
-                              for t, (g, m) in TEAMS.items()],
-                    "objectives": [], "time_bound_ms": 100.0,
-                    "workers": {"report_s": REPORT_S, "lease_s": LEASE_S, "gang_wait_s": 30.0,
-                                "gang_peer_s": 5.0, "cancel_s": CANCEL_S},
-                    "state": {**limits, "next": announced} if announced is not None else limits,
-                    "cloud": {"rps": 5.0, "list_lag_s": 3.0},
-                    "machine_limits": {"core_share": 0.4, "ram_mb": 186, "fd_limit": 1500}},
-    }).encode()
+    return json.dumps(
+        {
+            "node_name": name,
+            "location": "a",
+            "public_addr": "10.0.0.1:8080",
+            "back": "10.0.0.1:8081",
+            "unknown": 1,
+            "peers": [
+                {"node_name": n, "location": "a", "endpoint": "10.0.0.2:8081"}
+                for n in names
+                if n != name
+            ],
+            "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+            "cluster": {
+                "size": len(names),
+                "zones": ["a", "b"],
+                "teams": [
+                    {"name": t, "cpus": g, "cpus_max": m, "gpus": 0, "gpus_max": 0}
+                    for t, (g, m) in TEAMS.items()
+                ],
+                "objectives": [],
+                "time_bound_ms": 100.0,
+                "workers": {
+                    "report_s": REPORT_S,
+                    "lease_s": LEASE_S,
+                    "gang_wait_s": 30.0,
+                    "gang_peer_s": 5.0,
+                    "cancel_s": CANCEL_S,
+                },
+                "state": {**limits, "next": announced} if announced is not None else limits,
+                "cloud": {"rps": 5.0, "list_lag_s": 3.0},
+                "machine_limits": {"core_share": 0.4, "ram_mb": 186, "fd_limit": 1500},
+            },
+        }
+    ).encode()
 
 
 class Node:
@@ -82,9 +112,12 @@
         rng = random.Random(self.clock.rng.random())
         self.runs = self.code
         self.engine: Engine = self.runs.engine.Engine(
-            self.runs.settings.parse(settings_file(
-                self.name, self.world.names, self.world.announced)),
-            f"{self.name}.{self.life}", rng)
+            self.runs.settings.parse(
+                settings_file(self.name, self.world.names, self.world.announced)
+            ),
+            f"{self.name}.{self.life}",
+            rng,
+        )
         self.inbox: list[Any] = []
         self.answers: dict[int, Answer] = {}
         self.asked = 0
@@ -155,28 +188,55 @@
                 if answer is not None:
                     answer(effect.status, json.loads(code.wire.encode(effect.body)))
             case code.events.StoreCall():
-                self._call("state", self.world.state.request, code.store.request(effect),
-                           effect.timeout, life, effect.tag, code.events.StoreReply,
-                           lambda s, b: code.store.classify(effect, s, b))
+                self._call(
+                    "state",
+                    self.world.state.request,
+                    code.store.request(effect),
+                    effect.timeout,
+                    life,
+                    effect.tag,
+                    code.events.StoreReply,
+                    lambda s, b: code.store.classify(effect, s, b),
+                )
             case code.events.CloudCall():
-                self._call("cloud", self.world.cloud.request, code.cloud.request(effect),
-                           effect.timeout, life, effect.tag, code.events.CloudReply,
-                           lambda s, b: code.cloud.classify(effect, s, b))
+                self._call(
+                    "cloud",
+                    self.world.cloud.request,
+                    code.cloud.request(effect),
+                    effect.timeout,
+                    life,
+                    effect.tag,
+                    code.events.CloudReply,
+                    lambda s, b: code.cloud.classify(effect, s, b),
+                )
             case code.events.WorkerCall():
                 self._order(effect, life)
             case code.events.PeerSend():
                 data = code.wire.encode(effect.message)
                 for peer in self.world.names:
                     if peer != self.name and effect.to in (None, peer):
-                        self.clock.send(self.name, peer, lambda peer=peer: self.world.nodes[
-                            peer].receive(json.loads(data)), link=True)
+                        self.clock.send(
+                            self.name,
+                            peer,
+                            lambda peer=peer: self.world.nodes[peer].receive(json.loads(data)),
+                            link=True,
+                        )
 
     def receive(self, message: dict[str, Any]) -> None:
         if self.up:
             self.push(self.runs.events.PeerMessage(message))
 
-    def _call(self, host: str, target: Any, request: tuple[str, str, bytes], timeout: float,
-              life: int, tag: int, reply: Any, classify: Any) -> None:
+    def _call(
+        self,
+        host: str,
+        target: Any,
+        request: tuple[str, str, bytes],
+        timeout: float,
+        life: int,
+        tag: int,
+        reply: Any,
+        classify: Any,
+    ) -> None:
         """A call: refused connections are not executed, held ones are, late."""
         open_ = [True]
 
@@ -191,8 +251,9 @@
         self.clock.after(timeout, lambda: finish("unknown"))
 
         def answered(status: int, body: Any) -> None:
-            self.clock.send(host, self.name, lambda: finish(
-                *classify(status, json.dumps(body).encode())))
+            self.clock.send(
+                host, self.name, lambda: finish(*classify(status, json.dumps(body).encode()))
+            )
 
         def arrive() -> None:
             target(self.name, *request, answered)
@@ -204,8 +265,9 @@
             self.clock.send(self.name, host, arrive)
 
     def _order(self, call: ev.WorkerCall, life: int) -> None:
-        worker = next((w for w in self.world.cloud.workers.values()
-                       if w.row["addr"] == call.addr), None)
+        worker = next(
+            (w for w in self.world.cloud.workers.values() if w.row["addr"] == call.addr), None
+        )
         open_ = [True]
 
         def finish(outcome: str, report: Any = None) -> None:
@@ -214,16 +276,16 @@
                 self.push(self.runs.events.WorkerReply(call.tag, outcome, report))
 
         name = worker.row["id"] if worker else "nobody"
-        if worker is None or (self.clock.parted(self.name, name)
-                              and self.clock.rng.random() < 0.3):
+        if worker is None or (self.clock.parted(self.name, name) and self.clock.rng.random() < 0.3):
             self.clock.after(1.0, lambda: finish("not_sent"))
             return
         self.clock.after(call.timeout, lambda: finish("unknown"))
 
         def answered(status: int, body: Any) -> None:
             report = msgspec.convert(body, self.runs.wire.Report)
-            self.clock.send(name, self.name,
-                            lambda: finish("ok" if status == 200 else "stale", report))
+            self.clock.send(
+                name, self.name, lambda: finish("ok" if status == 200 else "stale", report)
+            )
 
         def arrive(worker: Worker = worker) -> None:
             if call.orders is None:
@@ -231,11 +293,15 @@
             else:
                 worker.orders(json.loads(wire.encode(call.orders)), answered)
 
-        if call.orders is not None and self.world.repeats and (
-                self.clock.rng.random() < self.world.repeats):
+        if (
+            call.orders is not None
+            and self.world.repeats
+            and (self.clock.rng.random() < self.world.repeats)
+        ):
             orders = json.loads(wire.encode(call.orders))
-            self.clock.after(5 + self.clock.rng.random() * 40,
-                             lambda: worker.orders(orders, lambda *_: None))
+            self.clock.after(
+                5 + self.clock.rng.random() * 40, lambda: worker.orders(orders, lambda *_: None)
+            )
         if call.orders is not None and self.clock.rng.random() < self.world.late_orders:
             self.clock.after(1 + self.clock.rng.random() * 7, arrive)
         else:
@@ -255,8 +321,13 @@
 class World:
     """The whole simulated cluster."""
 
-    def __init__(self, seed: int, capacity: int = 12, code: Code | None = None,
-                 announced: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        capacity: int = 12,
+        code: Code | None = None,
+        announced: dict[str, Any] | None = None,
+    ) -> None:
         self.code, self.announced = code or present(), announced
         self.clock = Clock(seed)
         self.names = ["n0", "n1", "n2"]
@@ -304,8 +375,11 @@
     # --- troubles ---------------------------------------------------------
     def view(self) -> View | None:
         """The newest view that any controller knows."""
-        views = [node.engine.replica.view for node in self.nodes.values()
-                 if node.up and node.engine.replica.view is not None]
+        views = [
+            node.engine.replica.view
+            for node in self.nodes.values()
+            if node.up and node.engine.replica.view is not None
+        ]
         return max(views, key=lambda view: view.term, default=None)
 
     def leader(self) -> str:
@@ -315,13 +389,13 @@
     def cut_zone(self, zone: str, seconds: float, hold: bool) -> None:
         """Its machines, also those that come up meanwhile, and its controller."""
         inside = {name for name in self.names if ZONES[name] == zone}
-        inside |= {name for name, worker in self.cloud.workers.items()
-                   if worker.row["quay"] == zone}
+        inside |= {
+            name for name, worker in self.cloud.workers.items() if worker.row["quay"] == zone
+        }
         outside = {"state", "cloud", "user", *self.names, *self.cloud.workers} - inside
         self.clock.cut(inside, outside, seconds, hold)
         until = self.clock.now + seconds
-        self.zone_cuts += [(zone, inside, until),
-                           ("b" if zone == "a" else "a", outside, until)]
+        self.zone_cuts += [(zone, inside, until), ("b" if zone == "a" else "a", outside, until)]
 
     def _machine_up(self, name: str) -> None:
         for zone, side, until in self.zone_cuts:
@@ -335,15 +409,17 @@
         self.judge.peace = self.clock.now
 
     # --- network to the controllers ---------------------------------------
-    def call_node(self, source: str, node: str, method: str, path: str, body: bytes,
-                  answer: Answer) -> None:
+    def call_node(
+        self, source: str, node: str, method: str, path: str, body: bytes, answer: Answer
+    ) -> None:
         target = self.nodes[node]
         if self.clock.now < self.mute.get(source, 0.0):
             self.clock.after(1.0, lambda: answer(0, {}))
             return
         if path == wire.PATH_REPORT and self.clock.rng.random() < self.copies:
-            self.late_copy(self.clock.rng.choice(self.names), body,
-                           2 + self.clock.rng.random() * 40)
+            self.late_copy(
+                self.clock.rng.choice(self.names), body, 2 + self.clock.rng.random() * 40
+            )
         if not target.up:
             self.clock.after(0.01, lambda: answer(0, {}))
             return
@@ -351,13 +427,20 @@
 
         def arrive() -> None:
             if target.alive(life):
-                target.request(method, path, body, lambda status, reply: self.clock.send(
-                    node, source, lambda: answer(status, reply)))
+                target.request(
+                    method,
+                    path,
+                    body,
+                    lambda status, reply: self.clock.send(
+                        node, source, lambda: answer(status, reply)
+                    ),
+                )
 
         self.clock.send(source, node, arrive)
 
     def late_copy(self, node: str, report: bytes, delay: float) -> None:
         """An old report comes again; whatever is answered reaches nobody."""
+
         def arrive() -> None:
             if self.nodes[node].up:
                 self.copied.append((self.clock.now, node, self._age(json.loads(report))))
@@ -375,6 +458,7 @@
 
     def upgrade(self, every_s: float, away_s: float = 5.0) -> None:
         """All controllers are restarted with the present version, one after the other."""
+
         def one(node: Node) -> None:
             node.code = present()
             node.crash(away_s)
@@ -400,15 +484,28 @@
         """A random job; `run_s` is known to the workers alone."""
         rng = self.clock.rng
         service = rng.random() < 0.3
-        spec = {"id": f"job-{number:06d}", "berth": "svc" if service else "arr",
-                "owner": rng.choice(list(TEAMS)), "shape": "daemon" if service else "batch",
-                "rank": "production" if service else rng.choice(["standard", "best_effort"]),
-                "crates": rng.randint(1, 3) if service else rng.randint(1, 12),
-                "cores": rng.choice([1.0, 2.0]), "cards": 0.0, "memory_gb": 2.0,
-                "cargo": f"img-{rng.randint(0, 2)}", "image_gb": 1.0, "hulls": None,
-                "quay": rng.choice([None, None, "a"]), "together": False, "scatter": False,
-                "standby": not service and rng.random() < 0.7, "eta_s": 5.0, "stow_s": 0.0,
-                "lash_s": 0.0, "sail_s": 60.0 if not service else None}
+        spec = {
+            "id": f"job-{number:06d}",
+            "berth": "svc" if service else "arr",
+            "owner": rng.choice(list(TEAMS)),
+            "shape": "daemon" if service else "batch",
+            "rank": "production" if service else rng.choice(["standard", "best_effort"]),
+            "crates": rng.randint(1, 3) if service else rng.randint(1, 12),
+            "cores": rng.choice([1.0, 2.0]),
+            "cards": 0.0,
+            "memory_gb": 2.0,
+            "cargo": f"img-{rng.randint(0, 2)}",
+            "image_gb": 1.0,
+            "hulls": None,
+            "quay": rng.choice([None, None, "a"]),
+            "together": False,
+            "scatter": False,
+            "standby": not service and rng.random() < 0.7,
+            "eta_s": 5.0,
+            "stow_s": 0.0,
+            "lash_s": 0.0,
+            "sail_s": 60.0 if not service else None,
+        }
         if spec["quay"] is None and rng.random() < 0.3:
             spec[rng.choice(["together", "scatter"])] = True
         spec["run_s"] = 1e9 if service else 2 + rng.random() * 8
@@ -418,8 +515,7 @@
         job = spec["id"]
         self.judge.jobs[job] = spec
         self.judge.submitted.setdefault(job, self.clock.now)
-        self._ask(job, "POST", "/v2/runs", self._body(spec), (200, 201),
-                  lambda: self._poll(job))
+        self._ask(job, "POST", "/v2/runs", self._body(spec), (200, 201), lambda: self._poll(job))
         if cancel_after is not None:
             self.clock.after(cancel_after, lambda: self.cancel(job))
 
@@ -436,9 +532,12 @@
         for name, worker in sorted(self.cloud.workers.items()):
             for (task, _), row in worker.tasks.items():
                 job = task.partition("/")[0]
-                if (row["status"] == "running" and job in self.judge.accepted
-                        and row["until"] - self.clock.now > left_s
-                        and job not in self.judge.asked_cancel | self.called_off):
+                if (
+                    row["status"] == "running"
+                    and job in self.judge.accepted
+                    and row["until"] - self.clock.now > left_s
+                    and job not in self.judge.asked_cancel | self.called_off
+                ):
                     found.setdefault(job, []).append(name)
         return found
 
@@ -469,8 +568,7 @@
         elif kind == "ask":
             self._ask(job, "GET", f"/v2/runs/{job}", b"", (), None)
         else:
-            self._ask(job, "POST", "/v2/runs", self._body(self.judge.jobs[job]), (200, 201),
-                      None)
+            self._ask(job, "POST", "/v2/runs", self._body(self.judge.jobs[job]), (200, 201), None)
 
     def ask_all(self) -> None:
         """Everybody asks every controller once more about every job."""
@@ -508,10 +606,20 @@
         elif kind == "nobody":
             self._refused(spec["id"], "GET", f"/v2/runs/{spec['id']}", b"", 404)
         elif kind == "never":
-            spec.update(rng.choice([
-                {"cores": 99.0}, {"memory_gb": 99.0}, {"cards": 1.0}, {"hulls": ["x9"]},
-                {"hulls": []}, {"quay": "z"}, {"owner": "nobody"},
-                {"shape": "daemon", "cores": 4.0, "crates": 7}]))
+            spec.update(
+                rng.choice(
+                    [
+                        {"cores": 99.0},
+                        {"memory_gb": 99.0},
+                        {"cards": 1.0},
+                        {"hulls": ["x9"]},
+                        {"hulls": []},
+                        {"quay": "z"},
+                        {"owner": "nobody"},
+                        {"shape": "daemon", "cores": 4.0, "crates": 7},
+                    ]
+                )
+            )
             self._refused(spec["id"], "POST", "/v2/runs", json.dumps(spec).encode(), 422)
         else:
             field = rng.choice(sorted(set(spec) - {"id", "hulls", "quay", "sail_s"}))
@@ -523,6 +631,7 @@
 
     def _refused(self, job: str, method: str, path: str, body: bytes, status: int) -> None:
         """Ask for what must be refused, until it is; then ask whether it was stored."""
+
         def then() -> None:
             if status != 404:
                 what = job + " afterwards"
@@ -544,8 +653,16 @@
         up = [name for name in up if not self.clock.parted("user", name)] or up
         return [name for name in up if self.nodes[name].engine.healthy()] or up
 
-    def _ask(self, job: str, method: str, path: str, body: bytes, good: tuple[int, ...],
-             then: Callable[[], None] | None, node: str | None = None) -> None:
+    def _ask(
+        self,
+        job: str,
+        method: str,
+        path: str,
+        body: bytes,
+        good: tuple[int, ...],
+        then: Callable[[], None] | None,
+        node: str | None = None,
+    ) -> None:
         """A request, repeated until its status is one of `good`. Polls aren't: users ask
         again at their next time."""
         up = [node] if node else self._balanced()
@@ -562,8 +679,7 @@
             else:
                 over = status in good or method == "GET"
                 if status:
-                    self.judge.answered(job, sent, status, reply.get("status"),
-                                        method == "GET")
+                    self.judge.answered(job, sent, status, reply.get("status"), method == "GET")
             if not over:
                 self.clock.after(1.0, lambda: self._ask(job, method, path, body, good, then))
             elif then:
@@ -582,5 +698,8 @@
 
     def unfinished(self) -> list[str]:
         """Accepted arrays that are not over."""
-        return [job for job in self.judge.accepted if job not in self.judge.final
-                and self.judge.jobs[job]["shape"] != "daemon"]
+        return [
+            job
+            for job in self.judge.accepted
+            if job not in self.judge.final and self.judge.jobs[job]["shape"] != "daemon"
+        ]
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -21,14 +21,18 @@
     return 200, b'{"key":"ad/live/view","stamp":1,"data":' + b"[" * 50_000 + b"]" * 50_000 + b"}"
 
 
-@pytest.mark.parametrize("make", [
-    lambda tag: StoreCall(tag, "get", ("ad/live/view",), 1.0),
-    lambda tag: ev.CloudCall(tag, "types", (), 1.0),
-    lambda tag: ev.WorkerCall(tag, "10.0.0.9:70000", None, 1.0),
-])
+@pytest.mark.parametrize(
+    "make",
+    [
+        lambda tag: StoreCall(tag, "get", ("ad/live/view",), 1.0),
+        lambda tag: ev.CloudCall(tag, "types", (), 1.0),
+        lambda tag: ev.WorkerCall(tag, "10.0.0.9:70000", None, 1.0),
+    ],
+)
 def test_every_call_gets_an_answer(make: Callable[[int], ev.Effect]) -> None:
     """A call whose end was never heard left its flag set: no renewal, proof, list or order
     was sent again until a restart."""
+
     async def body() -> None:
         app = App(settings("n0", ["n0", "n1", "n2"]))
         app.store.calls.request = brackets  # type: ignore[assignment]
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -23,14 +23,27 @@
     world = World(seed)
     clock, rng = world.clock, world.clock.rng
     for number in range(3):
-        one = {**world.spec(900 + number), "shape": "daemon", "rank": "production",
-               "berth": "svc", "crates": 1, "run_s": 1e9, "sail_s": None, "together": False,
-               "scatter": False, "standby": False}
+        one = {
+            **world.spec(900 + number),
+            "shape": "daemon",
+            "rank": "production",
+            "berth": "svc",
+            "crates": 1,
+            "run_s": 1e9,
+            "sail_s": None,
+            "together": False,
+            "scatter": False,
+            "standby": False,
+        }
         clock.at(1.0 + number, lambda one=one: world.submit(one))
     for number in range(chains):
         cancel = rng.randrange(5) if number % 3 == 0 else None
-        clock.at(8 + rng.random() * (until - 25), lambda n=number, x=cancel: pipeline(
-            world, n, x, 3 + 12 * rng.random(), late=n % 4 == 1))
+        clock.at(
+            8 + rng.random() * (until - 25),
+            lambda n=number, x=cancel: pipeline(
+                world, n, x, 3 + 12 * rng.random(), late=n % 4 == 1
+            ),
+        )
     for time in range(14, int(until), 7):
         for fault in faults:
             if rng.random() < 0.6:
@@ -46,22 +59,39 @@
 
 
 def verdict(world: World) -> list[str]:
-    return world.judge.broken + world.judge.day_end(world.judge.peace) + [
-        f"unfinished: {job}" for job in world.unfinished()]
-
-
-@pytest.mark.parametrize(("seed", "faults"), [
-    (1, ()), (2, ("crash", "late_writes")), (3, ("outage", "shut_out", "crash_all")),
-    (4, ("alone", "cut", "die")), (5, ("isolate", "peers", "hang", "freeze")),
-])
+    return (
+        world.judge.broken
+        + world.judge.day_end(world.judge.peace)
+        + [f"unfinished: {job}" for job in world.unfinished()]
+    )
+
+
+@pytest.mark.parametrize(
+    ("seed", "faults"),
+    [
+        (1, ()),
+        (2, ("crash", "late_writes")),
+        (3, ("outage", "shut_out", "crash_all")),
+        (4, ("alone", "cut", "die")),
+        (5, ("isolate", "peers", "hang", "freeze")),
+    ],
+)
 def test_chains_keep_the_rules(seed: int, faults: tuple[str, ...]) -> None:
     world = day(seed, *faults)
     assert verdict(world) == []
-    chained = {job: state for job, (state, _) in world.judge.final.items()
-               if world.judge.jobs[job].get("tethers")}
+    chained = {
+        job: state
+        for job, (state, _) in world.judge.final.items()
+        if world.judge.jobs[job].get("tethers")
+    }
     assert sum(state == "done" for state in chained.values()) > 12
-    assert sum(state == "withdrawn" and job not in world.judge.asked_cancel
-               for job, state in chained.items()) > 0
+    assert (
+        sum(
+            state == "withdrawn" and job not in world.judge.asked_cancel
+            for job, state in chained.items()
+        )
+        > 0
+    )
 
 
 def test_tasks_that_do_not_wait_are_noticed(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -85,8 +115,7 @@
     users ask it about the jobs behind, after they were told elsewhere."""
     world = World(seed)
     world.clock.run(8.0)
-    names = pipeline(world, 1, stages=[("first", []), ("join", [0]), ("join", [1]),
-                                       ("last", [2])])
+    names = pipeline(world, 1, stages=[("first", []), ("join", [0]), ("join", [1]), ("last", [2])])
     world.clock.run(12.0)
     assert all(name in world.judge.accepted for name in names)
     world.judge.jobs[names[0]]["run_s"] = 300.0
@@ -94,25 +123,30 @@
     world.state.silent[node] = world.clock.now + 6.0
     world.clock.cut({node}, set(world.names) - {node}, 6.0, False)
     world.judge.asked_cancel.add(names[0])
-    world._ask(names[0], "POST", f"/v2/runs/{names[0]}/cancel", b"", (200,), None,
-               world.names[0])
+    world._ask(names[0], "POST", f"/v2/runs/{names[0]}/cancel", b"", (200,), None, world.names[0])
     for step in range(20):
         for name in names[1:]:
             asked = world.names[0] if step < 4 else node
-            world.clock.after(0.3 + step / 5, lambda name=name, asked=asked: world._ask(
-                name, "GET", f"/v2/runs/{name}", b"", (), None, asked))
+            world.clock.after(
+                0.3 + step / 5,
+                lambda name=name, asked=asked: world._ask(
+                    name, "GET", f"/v2/runs/{name}", b"", (), None, asked
+                ),
+            )
     world.clock.run(60.0)
     return world
 
 
 def test_answers_of_a_controller_that_lags_take_no_cancellation_back(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     world = lagging()
     assert world.judge.broken == []
     assert {world.judge.final[job][0] for job in world.judge.accepted} == {"withdrawn"}
     # Answered once its own record is proven, whatever the picture has of the others.
-    monkeypatch.setattr(Requests, "_tell_current", lambda self, asked, revision: self._tell(
-        asked, False))
+    monkeypatch.setattr(
+        Requests, "_tell_current", lambda self, asked, revision: self._tell(asked, False)
+    )
     assert "went_back" in lagging().judge.kinds()
 
 
@@ -158,11 +192,24 @@
     return [x for x in effects if isinstance(x, ev.Reply)]
 
 
-@pytest.mark.parametrize("needs", [
-    "job-1", ["job-x"], [5], [None], {"job-1": 1}, ["job-000001"], [""], 7, True, ["job-1\n"],
-])
+@pytest.mark.parametrize(
+    "needs",
+    [
+        "job-1",
+        ["job-x"],
+        [5],
+        [None],
+        {"job-1": 1},
+        ["job-000001"],
+        [""],
+        7,
+        True,
+        ["job-1\n"],
+    ],
+)
 def test_malformed_needs_are_refused(needs: object) -> None:
     from appledock.adapters import users
+
     with pytest.raises(users.Refused) as refused:
         spec(tethers=needs)
     assert refused.value.status == 400
@@ -176,10 +223,10 @@
 def test_a_job_never_accepted_gets_422_only_from_reads_that_succeeded() -> None:
     e = ready_engine()
     effects = e.handle([ev.Submit(1, spec(tethers=["job-7"]))], 100.0, 0.0)
-    read, = calls(effects, "get")
+    (read,) = calls(effects, "get")
     assert read.args == (JOBS + "job-7",)
     effects = e.handle([ev.StoreReply(read.tag, "missing", wire.Missing(5))], 100.0, 0.0)
-    read, = calls(effects, "get")
+    (read,) = calls(effects, "get")
     assert read.args == (FINAL + "job-7",)
     effects = e.handle([ev.StoreReply(read.tag, "missing", wire.Missing(5))], 100.0, 0.0)
     assert not replies(effects)  # it may have been accepted itself, long ago
@@ -194,13 +241,13 @@
     e = ready_engine()
     effects = e.handle([ev.Submit(1, spec(tethers=["job-7"]))], 100.0, 0.0)
     effects = e.handle([ev.StoreReply(calls(effects, "get")[0].tag, outcome)], 100.0, 0.0)
-    reply, = replies(effects)
+    (reply,) = replies(effects)
     assert reply.status == 503 and reply.headers == {"Retry-After": "1"}
 
 
 def test_before_all_nodes_know_dependencies_nothing_is_asked_of_the_old_ones() -> None:
     e = engine()
-    reply, = replies(e.handle([ev.Submit(1, spec(tethers=["job-7"]))], 100.0, 0.0))
+    (reply,) = replies(e.handle([ev.Submit(1, spec(tethers=["job-7"]))], 100.0, 0.0))
     assert reply.status == 503 and reply.headers == {"Retry-After": "1"}
 
 
@@ -212,7 +259,8 @@
     proof = next(x for x in calls(effects, "txn") if not x.args[0].writes)
     effects = e.handle([ev.StoreReply(proof.tag, "ok", wire.Committed(6))], 100.3, 0.0)
     assert [(reply.status, reply.body) for reply in replies(effects)] == [
-        (400, {"error": "needs: more than the record can hold"})]
+        (400, {"error": "needs: more than the record can hold"})
+    ]
 
 
 def test_a_long_way_back_to_a_job_done_before_this_controller_started() -> None:
@@ -224,8 +272,9 @@
     read = next(x for x in calls(effects, "get") if x.args[0].startswith(JOBS))
     effects = e.handle([ev.StoreReply(read.tag, "missing", wire.Missing(9))], 100.2, 0.0)
     read = next(x for x in calls(effects, "get") if x.args == (FINAL + "job-1",))
-    e.handle([ev.StoreReply(read.tag, "ok", wire.Row(FINAL + "job-1", {"state": "done"}, 2))],
-             100.3, 0.0)
+    e.handle(
+        [ev.StoreReply(read.tag, "ok", wire.Row(FINAL + "job-1", {"state": "done"}, 2))], 100.3, 0.0
+    )
     assert "job-2" in e.replica.queued
     assert e.steps.ready_at["job-2"] == e.wall
 
@@ -245,16 +294,23 @@
     room = type("Place", (), {"machine": "vm-1", "session": 1})()
     e.workers.get("vm-1")
     running = [Attempt("vm-1", 1, 1, 1, False, {0})]
-    e.replica.set_job(Job(spec(id="job-1", rank="best_effort", sail_s=None), 0.0, 2,
-                          attempts=running))
+    e.replica.set_job(
+        Job(spec(id="job-1", rank="best_effort", sail_s=None), 0.0, 2, attempts=running)
+    )
     standard = Job(spec(id="job-5", rank="standard"), 0.0, 3)
     assert [victim.job.id for victim in e.steps.preemption.victims(standard, room)] == ["job-1"]
     e.replica.set_job(Job(spec(id="job-2", rank="urgent", tethers=["job-1"]), 0.0, 4))
     assert e.rank(e.replica.jobs["job-1"]) == wire.RANKS["urgent"]
     assert e.steps.preemption.victims(standard, room) == []
     # Nor does its inherited rank stop others: that of `standard` is lower than urgent.
-    e.replica.set_job(Job(spec(id="job-6", rank="standard"), 0.0, 5, attempts=[
-        Attempt("vm-2", 1, 1, 1, False, {0})]))
+    e.replica.set_job(
+        Job(
+            spec(id="job-6", rank="standard"),
+            0.0,
+            5,
+            attempts=[Attempt("vm-2", 1, 1, 1, False, {0})],
+        )
+    )
     e.workers.get("vm-2")
     other = type("Place", (), {"machine": "vm-2", "session": 1})()
     assert e.steps.preemption.victims(e.replica.jobs["job-1"], other) == []
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -79,8 +79,9 @@
     assert bad.exit_code == 1 and "sample: allowed are 1 to 1000" in bad.stderr
     assert "unknown setting" in run("settings", "set", "x=1", "--api", cluster.api).stderr
     assert run("settings", "set", "sample", "--api", cluster.api).exit_code == 2
-    back = json.loads(run("settings", "set", "sample=default", "--json", "--api",
-                          cluster.api).stdout)
+    back = json.loads(
+        run("settings", "set", "sample=default", "--json", "--api", cluster.api).stdout
+    )
     assert back["settings"]["sample"]["value"] == back["settings"]["sample"]["default"]
     assert request(cluster, "PATCH", "/admin/v1/settings", [])[0] == 400
     assert request(cluster, "PATCH", "/admin/v1/settings", {"settings": {"sample": "x"}})[0] == 400
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -27,25 +27,58 @@
 BIG = wire.MachineType("h8", 8, 16, 0.3, 0.2, 5, ["a"], fetch_gb_per_s=0.5)
 
 
-def room(name: str, cpus: float, zone: str = "a", spot: bool = False, memory: float = 16,
-         images: frozenset[str] = frozenset()) -> Room:
+def room(
+    name: str,
+    cpus: float,
+    zone: str = "a",
+    spot: bool = False,
+    memory: float = 16,
+    images: frozenset[str] = frozenset(),
+) -> Room:
     return Room(name, KIND, zone, spot, 1, cpus, 0, memory, images)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 4), st.sampled_from("ab"), st.booleans(),
-                          st.integers(0, 8)), max_size=6),
-       st.integers(1, 12), st.integers(1, 3), st.booleans(), st.booleans(), st.booleans(),
-       st.booleans(), st.sampled_from([None, "a", "b"]), st.integers(1, 20))
-def test_placement_keeps_every_limit(rows: list[tuple[int, str, bool, int]], tasks: int,
-                                     size: int, together: bool, scatter: bool, spot: bool,
-                                     whole: bool, zone: str | None, sample: int) -> None:
-    job = spec(crates=tasks, cores=float(size), memory_gb=2.0, together=together, scatter=scatter,
-               standby=spot, quay=zone)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 4), st.sampled_from("ab"), st.booleans(), st.integers(0, 8)),
+        max_size=6,
+    ),
+    st.integers(1, 12),
+    st.integers(1, 3),
+    st.booleans(),
+    st.booleans(),
+    st.booleans(),
+    st.booleans(),
+    st.sampled_from([None, "a", "b"]),
+    st.integers(1, 20),
+)
+def test_placement_keeps_every_limit(
+    rows: list[tuple[int, str, bool, int]],
+    tasks: int,
+    size: int,
+    together: bool,
+    scatter: bool,
+    spot: bool,
+    whole: bool,
+    zone: str | None,
+    sample: int,
+) -> None:
+    job = spec(
+        crates=tasks,
+        cores=float(size),
+        memory_gb=2.0,
+        together=together,
+        scatter=scatter,
+        standby=spot,
+        quay=zone,
+    )
     rooms = [room(f"m{i}", cpus, z, s, mem) for i, (cpus, z, s, mem) in enumerate(rows)]
     before = {r.machine: (r.cpus, r.memory_gb) for r in rooms}
-    fits = {r.machine: r.count(job) if (spot or not r.spot) and zone in (None, r.zone) else 0
-            for r in rooms}
+    fits = {
+        r.machine: r.count(job) if (spot or not r.spot) and zone in (None, r.zone) else 0
+        for r in rooms
+    }
     placed = placement.place(job, tasks, rooms, random.Random(1), {}, whole, sample)
     count = {r.machine: n for r, n in placed}
     zones: dict[str, int] = {}
@@ -69,11 +102,15 @@
 
 
 @settings(derandomize=True, max_examples=300)
-@given(st.integers(0, 30), st.lists(st.integers(0, 8), min_size=3, max_size=3),
-       st.lists(st.integers(0, 8), min_size=3, max_size=3),
-       st.lists(st.tuples(st.integers(0, 2), st.integers(1, 6)), max_size=5))
-def test_a_teams_limit_against_dealing_one_by_one(spare: int, used: list[int], unused: list[int],
-                                                  queue: list[tuple[int, int]]) -> None:
+@given(
+    st.integers(0, 30),
+    st.lists(st.integers(0, 8), min_size=3, max_size=3),
+    st.lists(st.integers(0, 8), min_size=3, max_size=3),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(1, 6)), max_size=5),
+)
+def test_a_teams_limit_against_dealing_one_by_one(
+    spare: int, used: list[int], unused: list[int], queue: list[tuple[int, int]]
+) -> None:
     """The walk decides a whole queue; the reference deals single cores in turn."""
     nodes = ["n0", "n1", "n2"]
     shares = {n: quota.Amounts(u + f) for n, u, f in zip(nodes, used, unused, strict=True)}
@@ -105,15 +142,20 @@
     job = spec(cores=1.0)
     rooms = [room("tight", 1), room("warm", 4, images=frozenset({"img"}))]
     assert placement.pick(job, rooms, random.Random(1)).machine == "warm"  # type: ignore[union-attr]
-    assert placement.pick(job, [room("loose", 4), room("tight", 1)],
-                          random.Random(1)).machine == "tight"  # type: ignore[union-attr]
+    assert (
+        placement.pick(job, [room("loose", 4), room("tight", 1)], random.Random(1)).machine
+        == "tight"
+    )  # type: ignore[union-attr]
 
 
 def test_victims_are_the_cheapest_that_suffice() -> None:
     job = spec(rank="production", cores=3.0)
     small = Job(spec(id="job-2", cores=2.0), 0)
-    victims = [preemption.Victim(small, 0, 9.0), preemption.Victim(small, 1, 1.0),
-               preemption.Victim(small, 2, 5.0)]
+    victims = [
+        preemption.Victim(small, 0, 9.0),
+        preemption.Victim(small, 1, 1.0),
+        preemption.Victim(small, 2, 5.0),
+    ]
     chosen = preemption.choose(job, room("m", 1), victims)
     assert [v.task for v in chosen or ()] == [1]
     chosen = preemption.choose(job, room("m", 0), victims)
@@ -133,8 +175,13 @@
 
 def test_budget_serves_by_priority_and_lets_reads_pass() -> None:
     b = budget()
-    calls = [call(Priority.PROGRESS, 2), call(Priority.STEP, 3), call(Priority.USER, 2),
-             call(Priority.STEP, 0), call(Priority.LEASE, 0)]
+    calls = [
+        call(Priority.PROGRESS, 2),
+        call(Priority.STEP, 3),
+        call(Priority.USER, 2),
+        call(Priority.STEP, 0),
+        call(Priority.LEASE, 0),
+    ]
     for each in calls:
         b.add(each)
     sent, _ = b.due(0.0)
@@ -198,8 +245,10 @@
     job = Job(spec(crates=2), 0, 5)
     job.attempts.append(Attempt("vm-1", 1, 1, 1, False, {0, 1}))
     e.replica.set_job(job)
-    tasks = [wire.TaskReport(f"{job.id}/0", 1, wire.EXITED, wire.DONE),
-             wire.TaskReport(f"{job.id}/1", 1, wire.RUNNING)]
+    tasks = [
+        wire.TaskReport(f"{job.id}/0", 1, wire.EXITED, wire.DONE),
+        wire.TaskReport(f"{job.id}/1", 1, wire.RUNNING),
+    ]
     e.workers.learn(wire.Report("vm-1", "10.0.0.9:9", "h4", "a", 1, 1, 1, tasks=tasks))
     high = Job(spec(id="job-9", rank="production"), 0)
     found = e.steps.preemption.victims(high, room("vm-1", 0))
@@ -272,20 +321,31 @@
     assert e.steps.urgency(aged) < e.steps.urgency(service)
 
 
-@pytest.mark.parametrize(("cores", "tasks", "spot", "kind"), [
-    (4.0, 1, False, ("h4", "a", False)), (4.0, 2, False, ("h8", "a", False)),
-    (4.0, 1, True, ("h4", "a", True)), (8.0, 1, True, ("h8", "a", True)),
-])
-def test_cheapest_machines_against_a_price_list(cores: float, tasks: int, spot: bool,
-                                                kind: tuple[str, str, bool]) -> None:
+@pytest.mark.parametrize(
+    ("cores", "tasks", "spot", "kind"),
+    [
+        (4.0, 1, False, ("h4", "a", False)),
+        (4.0, 2, False, ("h8", "a", False)),
+        (4.0, 1, True, ("h4", "a", True)),
+        (8.0, 1, True, ("h8", "a", True)),
+    ],
+)
+def test_cheapest_machines_against_a_price_list(
+    cores: float, tasks: int, spot: bool, kind: tuple[str, str, bool]
+) -> None:
     e = engine()
     e.types = {"h4": KIND, "h8": BIG}
     fleet: Fleet = e.fleet
     job = spec(cores=cores, standby=spot, crates=tasks, memory_gb=1.0)
     assert fleet._cheapest(job, tasks) == kind
-    prices = {k: (t.spot_price if s else t.price) / min(tasks, int(t.cpus // cores))
-              for t in (KIND, BIG) for z in t.zones for s in ([True, False] if spot else [False])
-              if t.cpus >= cores for k in [(t.name, z, s)]}
+    prices = {
+        k: (t.spot_price if s else t.price) / min(tasks, int(t.cpus // cores))
+        for t in (KIND, BIG)
+        for z in t.zones
+        for s in ([True, False] if spot else [False])
+        if t.cpus >= cores
+        for k in [(t.name, z, s)]
+    }
     assert prices[kind] == min(prices.values())
     fleet.refused[kind] = e.now + 5
     assert fleet._cheapest(job, tasks) != kind
@@ -312,7 +372,9 @@
     e.steps.stop(job.id, "vm-1", {2})
     assert e.steps._apply_stops(job)
     assert sorted((a.stopping, sorted(a.tasks)) for a in job.attempts) == [
-        (False, [1]), (True, [0, 2])]
+        (False, [1]),
+        (True, [0, 2]),
+    ]
 
 
 def test_only_work_that_can_save_itself_leaves_a_machine_about_to_be_taken() -> None:
@@ -349,8 +411,9 @@
     """Of 300 machines 3 had it; a sample of 16 nearly always missed them, and every
     task waited for a fetch of half a minute."""
     job = spec(cores=1.0, crates=5)
-    rooms = [room(f"m{i:03}", 2, images=frozenset({"img"} if i % 100 == 7 else ()))
-             for i in range(300)]
+    rooms = [
+        room(f"m{i:03}", 2, images=frozenset({"img"} if i % 100 == 7 else ())) for i in range(300)
+    ]
     placed = placement.place(job, 5, rooms, random.Random(1), {}, False, 16)
     assert sum(n for r, n in placed if "img" in r.images) == 5
 
@@ -364,8 +427,18 @@
         job = Job(spec(id=task, crates=1, cores=4.0, cargo="other"), 0, 5)
         job.attempts.append(Attempt(name, 1, 1, 1, False, {0}))
         e.replica.set_job(job)
-        e.workers.learn(wire.Report(name, "10.0.0.9:9", "h4", "a", 1, 1, 1, tasks=[
-            wire.TaskReport(f"{task}/0", 1, wire.RUNNING)]))
+        e.workers.learn(
+            wire.Report(
+                name,
+                "10.0.0.9:9",
+                "h4",
+                "a",
+                1,
+                1,
+                1,
+                tasks=[wire.TaskReport(f"{task}/0", 1, wire.RUNNING)],
+            )
+        )
     e.workers.table["vm-150"].images["img"] = e.now
     e.rooms.touch_all()
     e.rooms.refresh()
@@ -378,6 +451,7 @@
 def test_idle_machines_are_kept_while_tasks_queue_that_fit_them() -> None:
     """At the start of a day a hundred submissions used up the writes; the machines that
     were up went back as idle before the first step, and all services waited for boots."""
+
     def returned(size: float) -> set[str]:
         e = engine()
         e.types = {"h4": KIND}
@@ -420,12 +494,19 @@
 
 
 def test_objectives_order_arrays_by_class_and_unknown_ones_are_ignored(
-        caplog: pytest.LogCaptureFixture) -> None:
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     caplog.set_level("INFO")
-    aims = Aims([Objective("deadline", "seal", times=1.5), Objective("deadline", "seal", times=1.0),
-                 Objective("finished", "seal", within_s=250.0),
-                 Objective("wait", "seal", within_s=100.0), Objective("wait", "gate", within_s=9.0),
-                 Objective("beauty", "seal", within_s=1.0)])
+    aims = Aims(
+        [
+            Objective("deadline", "seal", times=1.5),
+            Objective("deadline", "seal", times=1.0),
+            Objective("finished", "seal", within_s=250.0),
+            Objective("wait", "seal", within_s=100.0),
+            Objective("wait", "gate", within_s=9.0),
+            Objective("beauty", "seal", within_s=1.0),
+        ]
+    )
     assert "beauty" in caplog.text
     seal = spec(berth="seal", sail_s=70.0)
     assert aims.deadlines(seal) == [70.0, 105.0]
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -38,8 +38,11 @@
 
     def behind(self, name: str) -> list[str]:
         """Open jobs that need this one directly, and are not cancelled by another."""
-        return [other for other in self.open()
-                if name in self.needs(other) and not self._by_needs(other)]
+        return [
+            other
+            for other in self.open()
+            if name in self.needs(other) and not self._by_needs(other)
+        ]
 
     def _by_needs(self, name: str) -> bool:
         return any(map(self.doomed, self.needs(name)))
@@ -49,8 +52,12 @@
 
     def end(self, name: str) -> float:
         job = Job(self.specs[name], 100.0)
-        return min([job.deadline(), *(self.end(other) - self.specs[other].estimate_s
-                                      for other in self.behind(name))])
+        return min(
+            [
+                job.deadline(),
+                *(self.end(other) - self.specs[other].estimate_s for other in self.behind(name)),
+            ]
+        )
 
 
 def compare(model: Model, replica: Replica) -> None:
@@ -62,8 +69,9 @@
         assert (name in replica.queued) == (model.ready(name) and name not in model.cancelled)
         assert not needs.undecided(name)
         assert needs.pressing(job) == (model.rank(name), model.end(name)), name
-        assert needs.left(name) == [need for need in dict.fromkeys(model.needs(name))
-                                    if model.ended.get(need) != wire.DONE]
+        assert needs.left(name) == [
+            need for need in dict.fromkeys(model.needs(name)) if model.ended.get(need) != wire.DONE
+        ]
     assert not needs.unknown
     # Nothing is kept of chains that are over.
     assert set(needs.needs) == {name for name in model.open() if model.needs(name)}
@@ -83,7 +91,8 @@
     assert replica.needs.unknown == {need for need in needed if need in model.ended}
     for name in model.open():
         assert replica.needs.undecided(name) == any(
-            need in model.ended for need in above(model, name, set()))
+            need in model.ended for need in above(model, name, set())
+        )
     for need in sorted(replica.needs.unknown):
         replica.put(FINAL + need, {"state": model.ended[need]}, 1000)
     return replica
@@ -111,9 +120,13 @@
             name = data.draw(st.sampled_from(fresh))
             known = sorted(model.specs)
             needs = data.draw(st.lists(st.sampled_from(known), max_size=3)) if known else []
-            one = spec(id=name, tethers=needs, eta_s=data.draw(st.sampled_from([1.0, 7.0])),
-                       rank=data.draw(st.sampled_from(list(wire.RANKS))),
-                       sail_s=data.draw(st.sampled_from([None, 60.0, 90.0])))
+            one = spec(
+                id=name,
+                tethers=needs,
+                eta_s=data.draw(st.sampled_from([1.0, 7.0])),
+                rank=data.draw(st.sampled_from(list(wire.RANKS))),
+                sail_s=data.draw(st.sampled_from([None, 60.0, 90.0])),
+            )
             model.specs[name] = one
             replica.set_job(Job(one, 100.0, revision))
         elif what == "cancel" and model.open():
@@ -155,4 +168,3 @@
     first.cancelled, first.version = True, 5000
     replica.set_job(first)
     assert len(replica.needs.doomed) == 2999
-
--- a/tests/test_detached.py
+++ b/tests/test_detached.py
@@ -15,10 +15,22 @@
     """A cluster with services on some machines, and nothing else going on."""
     world = World(seed, capacity=24)
     for number in range(10):
-        world.submit({**world.spec(number), "shape": "daemon", "rank": "production",
-                      "berth": "svc", "owner": "red" if number % 2 else "blue", "crates": 1,
-                      "cores": 4.0, "quay": None, "together": False, "scatter": False,
-                      "sail_s": None, "run_s": 1e9})
+        world.submit(
+            {
+                **world.spec(number),
+                "shape": "daemon",
+                "rank": "production",
+                "berth": "svc",
+                "owner": "red" if number % 2 else "blue",
+                "crates": 1,
+                "cores": 4.0,
+                "quay": None,
+                "together": False,
+                "scatter": False,
+                "sail_s": None,
+                "run_s": 1e9,
+            }
+        )
     world.clock.run(60.0)
     assert len(world.judge.on) == 10
     return world
@@ -41,14 +53,16 @@
 
 def lost(world: World, trouble: Callable[[World, str], None]) -> int:
     """How many running replicas a trouble of the leader costs."""
-    sessions = {name: worker.session for name, worker in world.cloud.workers.items()
-                if worker.tasks}
+    sessions = {
+        name: worker.session for name, worker in world.cloud.workers.items() if worker.tasks
+    }
     node = victim(world)
     trouble(world, node)
     world.clock.run(world.clock.now + 24.0)
-    return sum(name not in world.cloud.workers
-               or world.cloud.workers[name].session != session
-               for name, session in sessions.items())
+    return sum(
+        name not in world.cloud.workers or world.cloud.workers[name].session != session
+        for name, session in sessions.items()
+    )
 
 
 SEEDS = {"loses_workers": 1, "stands_still": 8}
@@ -58,7 +72,8 @@
 
 @pytest.mark.parametrize("trouble", [loses_workers, stands_still])
 def test_no_replica_is_lost_with_a_member_that_workers_do_not_reach(
-        trouble: Callable[[World, str], None], monkeypatch: pytest.MonkeyPatch) -> None:
+    trouble: Callable[[World, str], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Its lease at the state service lives on, so its workers' own leases ran out; and a
     leader cut off from its workers deleted them all as mute."""
     monkeypatch.setattr(c, "DETACH_MIN", 2)
@@ -71,8 +86,7 @@
     assert lost(world, trouble) > 0
 
 
-def test_a_detached_member_owns_again_once_workers_answer(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_detached_member_owns_again_once_workers_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(c, "DETACH_MIN", 2)
     world = steady(1)
     node = victim(world)
@@ -89,7 +103,8 @@
 
 
 def test_a_member_cut_off_from_everybody_but_the_state_service_stays_detached(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """It hears of no worker at all then, which is no sign that they reach it again."""
     monkeypatch.setattr(c, "DETACH_MIN", 2)
     world = steady(3)
@@ -100,8 +115,11 @@
     views = [n.engine.replica.view for name, n in world.nodes.items() if name in others]
     assert all(view is not None and list(view.detached) == [node] for view in views)
     world.clock.run(world.clock.now + 30.0)
-    assert all(not n.engine.replica.view.detached for n in world.nodes.values()
-               if n.engine.replica.view is not None)
+    assert all(
+        not n.engine.replica.view.detached
+        for n in world.nodes.values()
+        if n.engine.replica.view is not None
+    )
     assert world.judge.broken == []
 
 
@@ -127,7 +145,8 @@
 
 
 def test_lost_replicas_go_again_in_the_write_that_records_their_loss(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """More than one only where a replica is passed on to another controller."""
     few = writes_of_lost(4)
     assert min(few.values()) == 1
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,15 +7,17 @@
 from tests.standins.world import World
 
 
-def play(seed: int, *faults: str, seconds: float = 150.0, jobs: int = 14,
-         late_orders: float = 0.0) -> World:
+def play(
+    seed: int, *faults: str, seconds: float = 150.0, jobs: int = 14, late_orders: float = 0.0
+) -> World:
     """One simulated day: jobs in the first minute, faults until 90 s, then peace."""
     world = World(seed)
     clock, rng = world.clock, world.clock.rng
     for number in range(jobs):
         spec = world.spec(number)
-        cancel = 5 + rng.random() * 50 if (
-            spec["shape"] == "daemon" or rng.random() < 0.3) else None
+        cancel = (
+            5 + rng.random() * 50 if (spec["shape"] == "daemon" or rng.random() < 0.3) else None
+        )
         clock.at(0.5 + rng.random() * 60, lambda s=spec, x=cancel: world.submit(s, x))
     for time in range(8, 90, 6):
         for fault in faults:
@@ -52,11 +54,20 @@
         case "refuse":
             world.refuse_peers(15 * rng.random())
         case "deaf" if machines:
-            clock.cut(set(world.names), set(rng.sample(machines, min(len(machines), 2))),
-                      2 + rng.random() * 25, rng.random() < 0.5, one_way=True)
+            clock.cut(
+                set(world.names),
+                set(rng.sample(machines, min(len(machines), 2))),
+                2 + rng.random() * 25,
+                rng.random() < 0.5,
+                one_way=True,
+            )
         case "alone":
-            clock.cut({node}, {"state", *(n for n in world.names if n != node)},
-                      5 + 30 * rng.random(), rng.random() < 0.5)
+            clock.cut(
+                {node},
+                {"state", *(n for n in world.names if n != node)},
+                5 + 30 * rng.random(),
+                rng.random() < 0.5,
+            )
         case "isolate":
             clock.cut({node}, {"state"}, 20 * rng.random(), True)
         case "outage" if rng.random() < 0.4:
@@ -75,34 +86,37 @@
             world.cloud.workers[rng.choice(machines)].hung_until = clock.now + 14 * rng.random()
 
 
-@pytest.mark.parametrize(("seed", "faults"), [
-    (1, ()),
-    (2, ("crash",)),
-    (3, ("crash_all", "die")),
-    (4, ("cut", "hang")),
-    (5, ("late", "isolate")),
-    (6, ("outage", "shut_out", "crash")),
-    (7, ("peers", "cut", "late")),
-    (8, ("crash", "cut", "die", "hang", "late", "outage", "cloud", "isolate", "peers")),
-    (9, ("crash_all", "late", "cut", "outage", "die")),
-    (1117, ("cloud", "crash", "hang", "late", "shut_out", "die", "cut", "outage")),
-    (1264, ("shut_out", "outage")),
-    (1445, ("cut", "crash", "cloud", "late")),
-    (5076, ("outage", "crash_all", "isolate", "peers", "crash", "late")),
-    (1226, ("die", "hang", "isolate", "outage", "cloud", "peers", "late", "cut")),
-    (35, ("repeats", "cut")),
-    (36, ("repeats", "crash", "die", "copies")),
-    (31, ("freeze",)),
-    (32, ("freeze", "crash", "late", "copies")),
-    (33, ("no_workers",)),
-    (34, ("no_workers", "freeze", "crash_all", "die", "outage")),
-    (21, ("deaf", "copies")),
-    (22, ("copies", "crash_all", "die", "crash")),
-    (23, ("alone", "crash", "late")),
-    (24, ("refuse", "die", "alone")),
-    (25, ("crash", "crash_all", "copies", "late", "deaf")),
-    (26, ("deaf", "copies", "alone", "refuse", "cut", "hang", "outage", "die", "crash")),
-])
+@pytest.mark.parametrize(
+    ("seed", "faults"),
+    [
+        (1, ()),
+        (2, ("crash",)),
+        (3, ("crash_all", "die")),
+        (4, ("cut", "hang")),
+        (5, ("late", "isolate")),
+        (6, ("outage", "shut_out", "crash")),
+        (7, ("peers", "cut", "late")),
+        (8, ("crash", "cut", "die", "hang", "late", "outage", "cloud", "isolate", "peers")),
+        (9, ("crash_all", "late", "cut", "outage", "die")),
+        (1117, ("cloud", "crash", "hang", "late", "shut_out", "die", "cut", "outage")),
+        (1264, ("shut_out", "outage")),
+        (1445, ("cut", "crash", "cloud", "late")),
+        (5076, ("outage", "crash_all", "isolate", "peers", "crash", "late")),
+        (1226, ("die", "hang", "isolate", "outage", "cloud", "peers", "late", "cut")),
+        (35, ("repeats", "cut")),
+        (36, ("repeats", "crash", "die", "copies")),
+        (31, ("freeze",)),
+        (32, ("freeze", "crash", "late", "copies")),
+        (33, ("no_workers",)),
+        (34, ("no_workers", "freeze", "crash_all", "die", "outage")),
+        (21, ("deaf", "copies")),
+        (22, ("copies", "crash_all", "die", "crash")),
+        (23, ("alone", "crash", "late")),
+        (24, ("refuse", "die", "alone")),
+        (25, ("crash", "crash_all", "copies", "late", "deaf")),
+        (26, ("deaf", "copies", "alone", "refuse", "cut", "hang", "outage", "die", "crash")),
+    ],
+)
 def test_rules_hold_and_work_gets_done(seed: int, faults: tuple[str, ...]) -> None:
     world = play(seed, *faults, seconds=210.0)
     assert world.judge.broken == []
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -26,13 +26,25 @@
 Patch = pytest.MonkeyPatch
 
 
-def small(world: World, number: int, service: bool = False, run_s: float = 4.0,
-          tasks: int = 2) -> dict[str, object]:
-    return {**world.spec(number), "shape": "daemon" if service else "batch", "crates": tasks,
-            "berth": "svc" if service else "arr", "cores": 1.0, "quay": None, "standby": False,
-            "rank": "production" if service else "standard", "together": False,
-            "scatter": False, "cargo": "img-0", "sail_s": None if service else 60.0,
-            "owner": "red" if service else "blue", "run_s": 1e9 if service else run_s}
+def small(
+    world: World, number: int, service: bool = False, run_s: float = 4.0, tasks: int = 2
+) -> dict[str, object]:
+    return {
+        **world.spec(number),
+        "shape": "daemon" if service else "batch",
+        "crates": tasks,
+        "berth": "svc" if service else "arr",
+        "cores": 1.0,
+        "quay": None,
+        "standby": False,
+        "rank": "production" if service else "standard",
+        "together": False,
+        "scatter": False,
+        "cargo": "img-0",
+        "sail_s": None if service else 60.0,
+        "owner": "red" if service else "blue",
+        "run_s": 1e9 if service else run_s,
+    }
 
 
 # --- a machine that only speaks ---------------------------------------------
@@ -42,8 +54,9 @@
     world = World(seed, capacity=4)
     world.clock.at(1.0, lambda: world.submit(small(world, 1, True, tasks=1)))
     for number in range(2, 40):
-        world.clock.at(4.0 + 2 * number,
-                       lambda n=number: world.submit(small(world, n, tasks=6, run_s=7.0)))
+        world.clock.at(
+            4.0 + 2 * number, lambda n=number: world.submit(small(world, n, tasks=6, run_s=7.0))
+        )
     world.clock.run(30.0)
     home = next(iter(world.judge.on["job-000001/0"]))
     victim = home if replicas else next(m for m in sorted(world.cloud.workers) if m != home)
@@ -96,8 +109,12 @@
     used: set[str] = set()
     for step in range(300):
         world.clock.run(60.0 + step / 10)
-        used |= {place.machine for key, row in world.state.rows.items()
-                 if key.startswith(JOBS) for place in decode(row[0], row[1]).attempts}
+        used |= {
+            place.machine
+            for key, row in world.state.rows.items()
+            if key.startswith(JOBS)
+            for place in decode(row[0], row[1]).attempts
+        }
     assert world.judge.broken == []
     return used & {victim}
 
@@ -111,8 +128,9 @@
 def owner_of_nothing() -> Engine:
     """An engine that acts under a view in which `n1` owns the machine `vm-x`."""
     e = engine()
-    e.replica.put(VIEW, {"term": 5, "members": {"n0": "x.1", "n1": "y", "n2": "z"},
-                         "leader": "n0"}, 1)
+    e.replica.put(
+        VIEW, {"term": 5, "members": {"n0": "x.1", "n1": "y", "n2": "z"}, "leader": "n0"}, 1
+    )
     e.replica.view_changed = False
     e.membership.joined, e.membership.incarnation = True, "x.1"
     e.membership.touch_sent = e.membership.view_sent = e.membership.served_at = e.now
@@ -155,6 +173,7 @@
 def test_copies_at_a_stranger_move_no_worker(monkeypatch: Patch) -> None:
     """Each counted as a try of a worker that cannot reach its owner, and a new view
     took the live worker away from the owner that it reported to all the time."""
+
     def wanted() -> dict[str, str]:
         e = owner_of_nothing()
         name = next(f"vm-{i}" for i in range(99) if e.replica.owner_of(f"vm-{i}") == "n1")
@@ -175,8 +194,10 @@
     world = World(seed, capacity=6)
     for number in range(1, 30):
         service = number % 3 == 0
-        world.clock.at(1.0 + number, lambda n=number, s=service: world.submit(
-            small(world, n, s), 40.0 if s else None))
+        world.clock.at(
+            1.0 + number,
+            lambda n=number, s=service: world.submit(small(world, n, s), 40.0 if s else None),
+        )
     world.clock.run(20.0)
     world.clock.cut({"n1"}, {"state", "n0", "n2"}, 30.0, True)
     healthy = []
@@ -207,7 +228,8 @@
 
 
 def test_jobs_of_a_controller_that_is_shut_out_do_not_wait_for_its_lease(
-        monkeypatch: Patch) -> None:
+    monkeypatch: Patch,
+) -> None:
     def begin_s() -> float:
         world = World(7, capacity=6)
         world.clock.at(1.0, lambda: world.submit(small(world, 1)))
@@ -259,14 +281,18 @@
     world.late, world.copies = 0.08, 0.1
     for number in range(1, 25):
         service = number % 4 == 0
-        world.clock.at(1.0 + number, lambda n=number, s=service: world.submit(
-            small(world, n, s), 30.0 if s else None))
+        world.clock.at(
+            1.0 + number,
+            lambda n=number, s=service: world.submit(small(world, n, s), 30.0 if s else None),
+        )
     for time in range(10, 40, 5):
         for name in world.names:
             for again in (0.0, 0.5 + world.clock.rng.random()):
                 if world.clock.rng.random() < 0.6:
-                    world.clock.at(time + again, lambda n=name: world.nodes[n].crash(
-                        0.1 + 0.2 * world.clock.rng.random()))
+                    world.clock.at(
+                        time + again,
+                        lambda n=name: world.nodes[n].crash(0.1 + 0.2 * world.clock.rng.random()),
+                    )
     world.clock.at(45.0, lambda: setattr(world, "late", 0.0))
     world.clock.run(150.0)
     return world
@@ -298,15 +324,15 @@
     world = World(9, capacity=2)
     world.clock.at(20.0, lambda: world.submit(small(world, 1, tasks=60, run_s=5.0)))
     for number in range(2, 280):
-        world.clock.at(float(number), lambda n=number: world.submit(
-            small(world, n, tasks=2, run_s=5.0)))
+        world.clock.at(
+            float(number), lambda n=number: world.submit(small(world, n, tasks=2, run_s=5.0))
+        )
     world.clock.run(285.0)
     assert world.judge.broken == []
     return [line for line in world.judge.day_end(peace=0.0) if "job-000001 " in line]
 
 
-def test_the_largest_begins_within_four_minutes_under_lasting_shortage(
-        monkeypatch: Patch) -> None:
+def test_the_largest_begins_within_four_minutes_under_lasting_shortage(monkeypatch: Patch) -> None:
     assert shortage() == []
     monkeypatch.setattr(c, "AGED_S", 1e9)
     assert shortage() != []
@@ -315,13 +341,15 @@
 def test_a_job_about_which_nobody_answers_is_noticed(monkeypatch: Patch) -> None:
     world = World(10)
     poll = Requests.poll
-    monkeypatch.setattr(Requests, "poll", lambda self, cmd: poll(self, cmd)
-                        if cmd.job != "job-000002" else None)
+    monkeypatch.setattr(
+        Requests, "poll", lambda self, cmd: poll(self, cmd) if cmd.job != "job-000002" else None
+    )
     for number in (1, 2, 3):
         world.clock.at(1.0, lambda n=number: world.submit(small(world, n, True), None))
     world.clock.run(95.0)
     assert world.judge.day_end(peace=10.0) == [
-        "forgotten: no question about job-000002 is answered"]
+        "forgotten: no question about job-000002 is answered"
+    ]
 
 
 # --- records and views at size ---------------------------------------------------
@@ -336,10 +364,10 @@
         name = f"vm-{number:06d}"
         if e.replica.owner_of(name) == "n0":
             e.workers.learn(report(name, 1))
-    job_id = next(f"job-{i:06d}" for i in range(99)
-                  if e.replica.owner_of(f"job-{i:06d}") == "n0")
-    e.replica.set_job(Job(spec(id=job_id, crates=60, cores=0.2, owner="red", memory_gb=9.0),
-                          0.0, 2))
+    job_id = next(f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0")
+    e.replica.set_job(
+        Job(spec(id=job_id, crates=60, cores=0.2, owner="red", memory_gb=9.0), 0.0, 2)
+    )
     effects = e.handle([], e.now + 0.2, 0.0)
     plans = [x.args[0] for x in effects if isinstance(x, ev.StoreCall) and x.op == "txn"]
     puts = [put.value for plan in plans for put in plan.writes if put.key == JOBS + job_id]
@@ -350,10 +378,12 @@
 
 def test_one_silent_machine_gives_no_new_term() -> None:
     """A launch never seen asks for a new term only where a report could show it."""
+
     def wants(silent: bool) -> bool:
         e = owner_of_nothing()
-        job_id = next(f"job-{i:06d}" for i in range(99)
-                      if e.replica.owner_of(f"job-{i:06d}") == "n0")
+        job_id = next(
+            f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0"
+        )
         job = Job(spec(id=job_id), 0.0, 2, cancelled=True)
         job.attempts.append(Attempt("vm-1", 1, 1, 5, False, {0}))
         e.replica.set_job(job)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -54,6 +54,7 @@
 
 def test_a_pool_put_aside_during_a_call_keeps_no_socket() -> None:
     """Calls to more machines than connections are kept for: each such pool lost one."""
+
     async def body(port: int) -> None:
         client = Client("127.0.0.1", port)
         call = asyncio.create_task(client.request("GET", "/slow"))
@@ -72,15 +73,22 @@
     serve(body)
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"nonsense\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (c.BODY_MAX + 1), b"400"),
-    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537 + b"\r\n",
-     b"400"),
-    (b"GET /%s HTTP/1.1\r\n\r\n" % (b"x" * (c.HEADER_MAX + 1)), b"431"),
-    (b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", b"200"),
-])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (c.BODY_MAX + 1), b"400"),
+        (
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n"
+            + b"x" * 65537
+            + b"\r\n",
+            b"400",
+        ),
+        (b"GET /%s HTTP/1.1\r\n\r\n" % (b"x" * (c.HEADER_MAX + 1)), b"431"),
+        (b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", b"200"),
+    ],
+)
 def test_bad_input_gets_its_status_and_the_connection_closes(data: bytes, status: bytes) -> None:
     async def body(port: int) -> None:
         answer = await raw(port, data)
@@ -93,10 +101,13 @@
 def test_a_body_too_large_is_answered_400_however_large() -> None:
     """413 is a status that users repeat for a minute, and so is a reset connection: the
     answer was lost when the socket was closed before the body had been read."""
+
     async def body(port: int) -> None:
         for size in (c.BODY_MAX + 1, 300_000, 3_000_000):
-            answer = await raw(port, b"POST /v2/runs HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (
-                size, b"x" * size))
+            answer = await raw(
+                port,
+                b"POST /v2/runs HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (size, b"x" * size),
+            )
             assert answer.split(b" ")[1] == b"400" and b"body over" in answer
 
     serve(body)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -37,14 +37,27 @@
     third loses the workers."""
     world = World(2)
     for number in range(8):
-        spec = {**world.spec(number), "shape": "daemon", "crates": 2, "quay": None,
-                "together": False, "scatter": False, "run_s": 1e9, "standby": False}
+        spec = {
+            **world.spec(number),
+            "shape": "daemon",
+            "crates": 2,
+            "quay": None,
+            "together": False,
+            "scatter": False,
+            "run_s": 1e9,
+            "standby": False,
+        }
         world.clock.at(1.0 + number, lambda s=spec: world.submit(s))
     for name in world.names[:2]:
-        world.clock.at(30.0, lambda n=name: world.clock.cut({n}, {"state", *(
-            x for x in world.names if x != n)}, 60.0, True))
-    world.clock.at(30.0, lambda: world.clock.cut(
-        set(world.cloud.workers), {world.names[2]}, 60.0, True))
+        world.clock.at(
+            30.0,
+            lambda n=name: world.clock.cut(
+                {n}, {"state", *(x for x in world.names if x != n)}, 60.0, True
+            ),
+        )
+    world.clock.at(
+        30.0, lambda: world.clock.cut(set(world.cloud.workers), {world.names[2]}, 60.0, True)
+    )
     world.clock.run(100.0)
     return world.judge.kinds()
 
@@ -63,8 +76,11 @@
 def test_missing_taken_for_settlement_without_a_higher_term(monkeypatch: Patch) -> None:
     def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
         worker = self.table.get(attempt.machine)
-        if (worker is not None and worker.session == attempt.session
-                and (f"{job.id}/{task}", attempt.number) not in worker.tasks):
+        if (
+            worker is not None
+            and worker.session == attempt.session
+            and (f"{job.id}/{task}", attempt.number) not in worker.tasks
+        ):
             return "settled"
         return VERDICT(self, job, attempt, task)
 
@@ -78,13 +94,19 @@
     def unconditional(self: Engine, op: str, args: tuple[Any, ...], *rest: Any) -> bool:
         if op == "txn":
             plan = args[0]
-            plan.conditions = {k: v for k, v in plan.conditions.items()
-                               if not (k.startswith(JOBS) and v)}
+            plan.conditions = {
+                k: v for k, v in plan.conditions.items() if not (k.startswith(JOBS) and v)
+            }
         return store(self, op, args, *rest)
 
     monkeypatch.setattr(Engine, "store", unconditional)
     assert kinds(range(10), "late", "isolate") & {
-        "ran_cancelled", "went_back", "ran_twice", "forgotten", "quota"}
+        "ran_cancelled",
+        "went_back",
+        "ran_twice",
+        "forgotten",
+        "quota",
+    }
 
 
 def test_a_fenced_controller_that_still_writes_and_answers(monkeypatch: Patch) -> None:
@@ -118,14 +140,20 @@
     """Owners that halt nothing are not enough to break the rule: whoever sees a task of a
     cancelled job halts it. Without that, machines go; without that too, the judge notices."""
     commands = Workers.commands
-    monkeypatch.setattr(Workers, "commands", lambda self, worker, direct: [
-        x for x in commands(self, worker, direct) if x.op != wire.HALT])
+    monkeypatch.setattr(
+        Workers,
+        "commands",
+        lambda self, worker, direct: [
+            x for x in commands(self, worker, direct) if x.op != wire.HALT
+        ],
+    )
     assert "ran_cancelled" not in play(0, seconds=110.0).judge.kinds()
     monkeypatch.setattr(Cancels, "_halt", lambda *_: None)
     deleted: list[str] = []
     delete = Cancels._delete
-    monkeypatch.setattr(Cancels, "_delete", lambda self, names: (
-        deleted.extend(names), delete(self, names))[1])
+    monkeypatch.setattr(
+        Cancels, "_delete", lambda self, names: (deleted.extend(names), delete(self, names))[1]
+    )
     assert "ran_cancelled" not in play(0, seconds=110.0).judge.kinds()
     assert deleted
     monkeypatch.setattr(Cancels, "_delete", lambda *_: None)
--- a/tests/test_launches.py
+++ b/tests/test_launches.py
@@ -44,14 +44,16 @@
 
 
 def told(effects: list[ev.Effect]) -> list[str]:
-    return [command.op for reply in effects
-            if isinstance(reply, ev.Reply) and isinstance(reply.body, wire.ReportAnswer)
-            for command in reply.body.commands]
+    return [
+        command.op
+        for reply in effects
+        if isinstance(reply, ev.Reply) and isinstance(reply.body, wire.ReportAnswer)
+        for command in reply.body.commands
+    ]
 
 
 @pytest.mark.parametrize("outcome", ["not_sent", "stale"])
-def test_a_launch_in_an_answer_is_remembered_when_the_same_is_not_sent_later(
-        outcome: str) -> None:
+def test_a_launch_in_an_answer_is_remembered_when_the_same_is_not_sent_later(outcome: str) -> None:
     """The answer to a report had launched the task. The machine then fell silent, a second
     launch did not reach it, and the stopped attempt counted as never launched: it was
     settled, and the next one ran elsewhere at the same time."""
@@ -60,7 +62,7 @@
     running(e, 3)
     assert told(e.handle([ev.Reported(2, report(2))], NOW + 0.1, 0.0)) == [wire.LAUNCH]
     e.workers.orders_due.add("vm-1")  # another record of the machine changes
-    call, = worker_calls(e.handle([], NOW + 1.5, 0.0))
+    (call,) = worker_calls(e.handle([], NOW + 1.5, 0.0))
     assert [x.op for x in call.orders.commands] == [wire.LAUNCH]  # type: ignore[union-attr]
     e.handle([ev.WorkerReply(call.tag, outcome)], NOW + 2.5, 0.0)
     job = running(e, 4, stopping=True)
@@ -76,10 +78,10 @@
     e = leading()
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
     running(e, 3)
-    call, = worker_calls(e.handle([], NOW + 0.1, 0.0))
+    (call,) = worker_calls(e.handle([], NOW + 0.1, 0.0))
     e.handle([ev.WorkerReply(call.tag, "unknown")], NOW + 3.1, 0.0)
     e.workers.orders_due.add("vm-1")
-    call, = worker_calls(e.handle([], NOW + 4.5, 0.0))
+    (call,) = worker_calls(e.handle([], NOW + 4.5, 0.0))
     e.handle([ev.WorkerReply(call.tag, "not_sent")], NOW + 5.5, 0.0)
     job = running(e, 4, stopping=True)
     assert e.workers.verdict(job, job.attempts[0], 0) is None
@@ -93,7 +95,7 @@
     e = leading()
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
     running(e, 3)
-    call, = worker_calls(e.handle([], NOW + 0.1, 0.0))
+    (call,) = worker_calls(e.handle([], NOW + 0.1, 0.0))
     e.handle([ev.WorkerReply(call.tag, "not_sent")], NOW + 1.1, 0.0)
     job = running(e, 4, stopping=True)
     assert e.workers.verdict(job, job.attempts[0], 0) == "settled"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -17,18 +17,43 @@
     """Arrays of low rank fill the machines, and then services come."""
     world = World(seed, capacity=6)
     for number in range(6):
-        world.submit({**world.spec(number), "shape": "batch", "rank": "best_effort",
-                      "berth": "arr", "owner": "red", "crates": 4, "cores": 2.0, "quay": None,
-                      "together": False, "scatter": False, "standby": False, "run_s": 80.0})
+        world.submit(
+            {
+                **world.spec(number),
+                "shape": "batch",
+                "rank": "best_effort",
+                "berth": "arr",
+                "owner": "red",
+                "crates": 4,
+                "cores": 2.0,
+                "quay": None,
+                "together": False,
+                "scatter": False,
+                "standby": False,
+                "run_s": 80.0,
+            }
+        )
     world.clock.run(25.0)
     assert world.judge.on
     return world
 
 
 def service(world: World, number: int) -> str:
-    job = {**world.spec(number), "shape": "daemon", "rank": "production", "berth": "svc",
-           "owner": "blue", "crates": 1, "cores": 4.0, "quay": None, "together": False,
-           "scatter": False, "standby": False, "sail_s": None, "run_s": 1e9}
+    job = {
+        **world.spec(number),
+        "shape": "daemon",
+        "rank": "production",
+        "berth": "svc",
+        "owner": "blue",
+        "crates": 1,
+        "cores": 4.0,
+        "quay": None,
+        "together": False,
+        "scatter": False,
+        "standby": False,
+        "sail_s": None,
+        "run_s": 1e9,
+    }
     world.submit(job)
     return str(job["id"])
 
@@ -43,7 +68,8 @@
 
 
 def test_room_is_made_though_stops_to_other_controllers_are_lost(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """A stop sent to the victim's owner is lost while connections are refused; the claim
     ends and the wish is made again."""
     assert [begun(seed) for seed in (5, 6)] == [3, 3]
@@ -89,17 +115,39 @@
         e.membership.touch_sent = e.membership.view_sent = e.now
         batch: list[ev.Cmd] = [ev.Tick()]
         if tick % 20 == 0:  # its reports come, and show nothing new
-            batch.append(ev.PeerMessage({"kind": "worker", "well_s": 0.0, "report": {
-                "dockhand": name, "addr": "10.0.0.9:9", "hull": "h4", "quay": "a", "shift": 1,
-                "tally": 1 + tick, "warrant": 5, "standby": False, "crates": []}}))
+            batch.append(
+                ev.PeerMessage(
+                    {
+                        "kind": "worker",
+                        "well_s": 0.0,
+                        "report": {
+                            "dockhand": name,
+                            "addr": "10.0.0.9:9",
+                            "hull": "h4",
+                            "quay": "a",
+                            "shift": 1,
+                            "tally": 1 + tick,
+                            "warrant": 5,
+                            "standby": False,
+                            "crates": [],
+                        },
+                    }
+                )
+            )
         seen += e.handle(batch, e.now + c.TICK_S, e.wall + c.TICK_S)
-    writes = [write for effect in seen if isinstance(effect, ev.StoreCall) and effect.op == "txn"
-              for write in effect.args[0].writes if isinstance(write, ev.Put)]
+    writes = [
+        write
+        for effect in seen
+        if isinstance(effect, ev.StoreCall) and effect.op == "txn"
+        for write in effect.args[0].writes
+        if isinstance(write, ev.Put)
+    ]
     return any(write.value.get("to") == ["n1", "y"] for write in writes)
 
 
 def test_a_reason_to_wait_that_ends_with_time_is_found_without_news(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Handed on it may be only after two seconds. In a quiet cluster nobody looked again,
     and an accepted job waited for 40 s until another was cancelled."""
     assert handed_on(c.HANDOFF_EVERY_S + c.SWEEP_EVERY_S + 2.0)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -27,7 +27,11 @@
 
 Patch = pytest.MonkeyPatch
 VERDICT, COMMANDS, STORE, SHARES = (
-    Workers.verdict, Workers.commands, Engine.store, quota.Quota.shares)
+    Workers.verdict,
+    Workers.commands,
+    Engine.store,
+    quota.Quota.shares,
+)
 
 
 # --- guards taken out -------------------------------------------------------
@@ -43,10 +47,14 @@
 
 def absence_settles(patch: Patch) -> None:
     """Without a higher term on the worker."""
+
     def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
         worker = self.table.get(attempt.machine)
-        if (worker is not None and worker.session == attempt.session
-                and (f"{job.id}/{task}", attempt.number) not in worker.tasks):
+        if (
+            worker is not None
+            and worker.session == attempt.session
+            and (f"{job.id}/{task}", attempt.number) not in worker.tasks
+        ):
             return "settled"
         return VERDICT(self, job, attempt, task)
 
@@ -54,12 +62,16 @@
 
 
 def any_end_is_done(patch: Patch) -> None:
-    patch.setattr(Workers, "verdict", lambda self, job, attempt, task:
-                  "done" if VERDICT(self, job, attempt, task) else None)
+    patch.setattr(
+        Workers,
+        "verdict",
+        lambda self, job, attempt, task: "done" if VERDICT(self, job, attempt, task) else None,
+    )
 
 
 def nobody_answered_before(patch: Patch) -> None:
     """A controller without memory takes workers for unheard of by anybody."""
+
     def get(self: Workers, name: str) -> Worker:
         return self.table.setdefault(name, Worker(name))
 
@@ -68,6 +80,7 @@
 
 def old_shares_hold(patch: Patch) -> None:
     """Shares of a team's limit are kept from one view to the next."""
+
     def shares(self: quota.Quota, name: str) -> quota.Shares:
         team, view = self.e.replica.team(name), self.e.replica.view
         assert view is not None
@@ -91,8 +104,11 @@
 def no_job_version(patch: Patch) -> None:
     def store(self: Engine, op: str, args: tuple[Any, ...], *rest: Any) -> Any:
         if op == "txn":
-            args[0].conditions = {key: version for key, version in args[0].conditions.items()
-                                  if not (key.startswith(JOBS) and version)}
+            args[0].conditions = {
+                key: version
+                for key, version in args[0].conditions.items()
+                if not (key.startswith(JOBS) and version)
+            }
         return STORE(self, op, args, *rest)
 
     patch.setattr(Engine, "store", store)
@@ -117,8 +133,13 @@
 
 def no_halts(patch: Patch) -> None:
     no_word_of_mouth(patch)
-    patch.setattr(Workers, "commands", lambda self, worker, direct: [
-        x for x in COMMANDS(self, worker, direct) if x.op != wire.HALT])
+    patch.setattr(
+        Workers,
+        "commands",
+        lambda self, worker, direct: [
+            x for x in COMMANDS(self, worker, direct) if x.op != wire.HALT
+        ],
+    )
 
 
 GUARDS: dict[str, tuple[Callable[[Patch], None], str]] = {
@@ -157,8 +178,10 @@
     if name in GUARDS:
         guard, rule = GUARDS[name]
         guard(monkeypatch)
-        assert any(rule in play(other, name, until=rule)[0].judge.kinds()
-                   for other in range(seed, seed + 4))
+        assert any(
+            rule in play(other, name, until=rule)[0].judge.kinds()
+            for other in range(seed, seed + 4)
+        )
 
 
 @pytest.mark.parametrize("name", GAPS)
@@ -170,7 +193,8 @@
     assert verdict(world) == []
     assert world.judge.starts_after_cancel == []
     assert max(world.judge.cancel_took.values(), default=0.0) < (
-        12.0 if name in ("gap_hang", "gap_launch") else 3.0)
+        12.0 if name in ("gap_hang", "gap_launch") else 3.0
+    )
 
 
 def test_the_judge_notices_a_gap_that_no_guard_closes(monkeypatch: Patch) -> None:
--- a/tests/test_old_words.py
+++ b/tests/test_old_words.py
@@ -76,8 +76,9 @@
     for seq in range(2, 6):
         e.handle([ev.Reported(seq, report(seq))], NOW + seq, 0.0)
     e.fleet._return([])
-    deletes = [x for x in e.handle([], NOW + 6, 0.0)
-               if isinstance(x, ev.CloudCall) and x.op == "delete"]
+    deletes = [
+        x for x in e.handle([], NOW + 6, 0.0) if isinstance(x, ev.CloudCall) and x.op == "delete"
+    ]
     assert bool(deletes) is (why == "failed")
 
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -25,22 +25,54 @@
     assert room.count(job) == 100_000
 
 
-@pytest.mark.parametrize("odd", [
-    {"cores": 5e-324}, {"memory_gb": 1e-320}, {"cores": 0.0, "memory_gb": 0.0}, {"eta_s": 1e12},
-    {"sail_s": 0.0}, {"sail_s": 1e12}, {"image_gb": 1e12}, {"stow_s": 1e-320, "lash_s": 1e12},
-    {"crates": 900, "cores": 1e-9, "memory_gb": 0.0}, {"together": True, "scatter": True},
-    {"together": True, "scatter": True, "shape": "daemon"}, {"cards": 5e-324},
-])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {"cores": 5e-324},
+        {"memory_gb": 1e-320},
+        {"cores": 0.0, "memory_gb": 0.0},
+        {"eta_s": 1e12},
+        {"sail_s": 0.0},
+        {"sail_s": 1e12},
+        {"image_gb": 1e12},
+        {"stow_s": 1e-320, "lash_s": 1e12},
+        {"crates": 900, "cores": 1e-9, "memory_gb": 0.0},
+        {"together": True, "scatter": True},
+        {"together": True, "scatter": True, "shape": "daemon"},
+        {"cards": 5e-324},
+    ],
+)
 def test_others_run_whatever_one_submits(odd: dict[str, object]) -> None:
     world = World(7)
-    first = {**world.spec(0), "shape": "batch", "owner": "red", "quay": None, "together": False,
-             "scatter": False, "sail_s": None, "standby": True, "rank": "production",
-             "berth": "arr", "crates": 3, "run_s": 2.0, **odd}
+    first = {
+        **world.spec(0),
+        "shape": "batch",
+        "owner": "red",
+        "quay": None,
+        "together": False,
+        "scatter": False,
+        "sail_s": None,
+        "standby": True,
+        "rank": "production",
+        "berth": "arr",
+        "crates": 3,
+        "run_s": 2.0,
+        **odd,
+    }
     world.submit(first)
     for number in range(1, 7):
-        other = {**world.spec(number), "shape": "batch", "owner": "red", "quay": None,
-                 "together": False, "scatter": False, "rank": "production", "cores": 1.0,
-                 "crates": 2, "run_s": 2.0}
+        other = {
+            **world.spec(number),
+            "shape": "batch",
+            "owner": "red",
+            "quay": None,
+            "together": False,
+            "scatter": False,
+            "rank": "production",
+            "cores": 1.0,
+            "crates": 2,
+            "run_s": 2.0,
+        }
         world.clock.at(1.0 + number, lambda s=other: world.submit(s))
     world.clock.run(60.0)
     assert world.judge.broken == []
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -15,10 +15,28 @@
 from appledock.core.replica import FINAL, JOBS, TEAMS
 from tests.standins.world import settings
 
-SPEC = {"id": "job-000001", "berth": "svc", "owner": "red", "shape": "batch", "rank": "standard",
-        "crates": 2, "cores": 1.0, "cards": 0.0, "memory_gb": 1.0, "cargo": "img", "image_gb": 1.0,
-        "hulls": None, "quay": None, "together": False, "scatter": False, "standby": True,
-        "eta_s": 5.0, "stow_s": 0.0, "lash_s": 0.0, "sail_s": None}
+SPEC = {
+    "id": "job-000001",
+    "berth": "svc",
+    "owner": "red",
+    "shape": "batch",
+    "rank": "standard",
+    "crates": 2,
+    "cores": 1.0,
+    "cards": 0.0,
+    "memory_gb": 1.0,
+    "cargo": "img",
+    "image_gb": 1.0,
+    "hulls": None,
+    "quay": None,
+    "together": False,
+    "scatter": False,
+    "standby": True,
+    "eta_s": 5.0,
+    "stow_s": 0.0,
+    "lash_s": 0.0,
+    "sail_s": None,
+}
 
 
 def engine() -> Engine:
@@ -40,11 +58,26 @@
     return command.spec
 
 
-@pytest.mark.parametrize("change", [
-    {"id": "job-x"}, {"id": "job-1\n"}, {"id": 5}, {"crates": 0}, {"crates": 100_001},
-    {"crates": 1.5}, {"cores": -1}, {"cores": "8"}, {"shape": "other"}, {"rank": "high"},
-    {"together": 1}, {"hulls": "g8"}, {"cargo": ""}, {"eta_s": None}, {"crates": True},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"id": "job-x"},
+        {"id": "job-1\n"},
+        {"id": 5},
+        {"crates": 0},
+        {"crates": 100_001},
+        {"crates": 1.5},
+        {"cores": -1},
+        {"cores": "8"},
+        {"shape": "other"},
+        {"rank": "high"},
+        {"together": 1},
+        {"hulls": "g8"},
+        {"cargo": ""},
+        {"eta_s": None},
+        {"crates": True},
+    ],
+)
 def test_bad_submissions_are_refused_with_a_reason(change: dict[str, object]) -> None:
     with pytest.raises(users.Refused) as refused:
         spec(**change)
@@ -52,25 +85,43 @@
     assert refused.value.error
 
 
-@pytest.mark.parametrize(("method", "path", "body", "status"), [
-    ("POST", "/v2/runs", b"{", 400), ("POST", "/v2/runs", b"[]", 400),
-    ("POST", "/v2/runs", b"\xff", 400), ("POST", "/v2/runs", b"{}", 400),
-    ("GET", "/v2/runs", b"", 405), ("GET", "/v2/runs/x", b"", 404), ("GET", "/nowhere", b"", 404),
-    ("DELETE", "/healthz", b"", 405), ("GET", "/v2/runs/job-1/cancel", b"", 405),
-    ("POST", "/v2/runs/job-1/stop", b"", 404), ("POST", "/agent/beat", b"{}", 400),
-])
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("POST", "/v2/runs", b"{", 400),
+        ("POST", "/v2/runs", b"[]", 400),
+        ("POST", "/v2/runs", b"\xff", 400),
+        ("POST", "/v2/runs", b"{}", 400),
+        ("GET", "/v2/runs", b"", 405),
+        ("GET", "/v2/runs/x", b"", 404),
+        ("GET", "/nowhere", b"", 404),
+        ("DELETE", "/healthz", b"", 405),
+        ("GET", "/v2/runs/job-1/cancel", b"", 405),
+        ("POST", "/v2/runs/job-1/stop", b"", 404),
+        ("POST", "/agent/beat", b"{}", 400),
+    ],
+)
 def test_bad_requests(method: str, path: str, body: bytes, status: int) -> None:
     with pytest.raises(users.Refused) as refused:
         users.command(1, method, path, body)
     assert refused.value.status == status
 
 
-@pytest.mark.parametrize(("change", "never"), [
-    ({}, False), ({"owner": "nobody"}, True), ({"cores": 5.0}, True), ({"hulls": ["h9"]}, True),
-    ({"hulls": []}, True), ({"quay": "z"}, True), ({"crates": 100}, False),
-    ({"hulls": ["h4", *(f"g{number}" for number in range(900))]}, True),
-    ({"crates": 24, "shape": "daemon"}, False), ({"crates": 25, "shape": "daemon"}, True),
-])
+@pytest.mark.parametrize(
+    ("change", "never"),
+    [
+        ({}, False),
+        ({"owner": "nobody"}, True),
+        ({"cores": 5.0}, True),
+        ({"hulls": ["h9"]}, True),
+        ({"hulls": []}, True),
+        ({"quay": "z"}, True),
+        ({"crates": 100}, False),
+        ({"hulls": ["h4", *(f"g{number}" for number in range(900))]}, True),
+        ({"crates": 24, "shape": "daemon"}, False),
+        ({"crates": 25, "shape": "daemon"}, True),
+    ],
+)
 def test_what_can_never_run(change: dict[str, object], never: bool) -> None:
     assert bool(engine().requests.verdict(spec(**change))) is never
 
@@ -93,21 +144,29 @@
     proof = next(x for x in calls(effects, "txn") if not x.args[0].writes)
     assert set(proof.args[0].conditions) == {JOBS + asked.id, FINAL + asked.id}
     effects = e.handle([ev.StoreReply(proof.tag, "ok", wire.Committed(1))], 100.3, 0.0)
-    reply, = (x for x in effects if isinstance(x, ev.Reply))
+    (reply,) = (x for x in effects if isinstance(x, ev.Reply))
     assert reply.status == 422
 
 
 def test_unknown_fields_are_ignored_and_absent_is_null() -> None:
     body = {k: v for k, v in SPEC.items() if v is not None}
     assert users.command(1, "POST", "/v2/runs", wire.encode({**body, "new": 1})) == ev.Submit(
-        1, spec())
-
-
-@pytest.mark.parametrize(("method", "path", "body"), [
-    ("POST", "/v2/runs",
-     wire.encode(SPEC)[:-1] + b',"new":' + b"[" * 20_000 + b"]" * 20_000 + b"}"),
-    ("POST", "/v2/runs", b"[" * 60_000), ("PATCH", "/admin/v1/settings", b"[" * 60_000),
-])
+        1, spec()
+    )
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        (
+            "POST",
+            "/v2/runs",
+            wire.encode(SPEC)[:-1] + b',"new":' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+        ),
+        ("POST", "/v2/runs", b"[" * 60_000),
+        ("PATCH", "/admin/v1/settings", b"[" * 60_000),
+    ],
+)
 def test_deeply_nested_bodies_are_malformed(method: str, path: str, body: bytes) -> None:
     """They were answered 500, which users repeat."""
     with pytest.raises(users.Refused) as refused:
@@ -129,30 +188,39 @@
     e = engine()
     e.watching = False
     effects = e.handle([ev.Tick()], 101.0, 0.0)
-    watch, = calls(effects, "watch")
-    events = [wire.Event(7, delete=JOBS + "job-000001"),
-              wire.Event(7, put=FINAL + "job-000001", value={"state": "done"})]
+    (watch,) = calls(effects, "watch")
+    events = [
+        wire.Event(7, delete=JOBS + "job-000001"),
+        wire.Event(7, put=FINAL + "job-000001", value={"state": "done"}),
+    ]
     e.handle([ev.StoreReply(watch.tag, "ok", wire.Watched(7, events))], 101.1, 0.0)
     effects = e.handle([ev.Poll(5, "job-000001")], 101.2, 0.0)
-    reply, = (x for x in effects if isinstance(x, ev.Reply))
+    (reply,) = (x for x in effects if isinstance(x, ev.Reply))
     assert (reply.status, reply.body.state) == (200, "done")
 
 
 def test_given_up_requests_are_answered_at_once_with_retry_after() -> None:
     e = engine()
     effects = e.handle([ev.Submit(1, spec())], 100.0, 0.0)
-    txn, = calls(effects, "txn")
+    (txn,) = calls(effects, "txn")
     effects = e.handle([ev.StoreReply(txn.tag, "refused")], 100.01, 0.0)
-    reply, = (x for x in effects if isinstance(x, ev.Reply))
+    (reply,) = (x for x in effects if isinstance(x, ev.Reply))
     assert reply.status == 503
     assert reply.headers == {"Retry-After": "1"}
 
 
 def test_conflicts_are_counted_by_kind_of_key() -> None:
     e = engine()
-    e.store("txn", (ev.TxnPlan({TEAMS + "red": 1, FINAL + "job-1": 0}),), Priority.USER,
-            lambda reply: None)
+    e.store(
+        "txn",
+        (ev.TxnPlan({TEAMS + "red": 1, FINAL + "job-1": 0}),),
+        Priority.USER,
+        lambda reply: None,
+    )
     call = calls(e.handle([], 100.0, 0.0), "txn")[0]
-    e.handle([ev.StoreReply(call.tag, "conflict", wire.Conflict(list(
-        call.args[0].conditions)))], 100.1, 0.0)
+    e.handle(
+        [ev.StoreReply(call.tag, "conflict", wire.Conflict(list(call.args[0].conditions)))],
+        100.1,
+        0.0,
+    )
     assert e.conflicts == {"teams": 1, "final": 1}
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -57,8 +57,7 @@
             self.log.append((self.revision, key, value))
 
     def used(self) -> float:
-        jobs = [decode(value, 1) for key, (value, _) in self.rows.items()
-                if key.startswith(JOBS)]
+        jobs = [decode(value, 1) for key, (value, _) in self.rows.items() if key.startswith(JOBS)]
         return sum(job.open_tasks * job.spec.cpus for job in jobs)
 
     # --- what may happen ------------------------------------------------------
@@ -88,8 +87,11 @@
         view = e.replica.view
         if view is None or name not in view.members or not e.replica.synced:
             return
-        mine = [job for job in e.replica.jobs.values() if e.owns_job(job)
-                and (name, job.id) not in self.busy]
+        mine = [
+            job
+            for job in e.replica.jobs.values()
+            if e.owns_job(job) and (name, job.id) not in self.busy
+        ]
         if not mine:
             return
         job = rng.choice(sorted(mine, key=lambda job: job.id))
@@ -100,8 +102,9 @@
         count = min(e.quota.allowed(job, new), rng.randint(0, 12))
         if count > 0:
             new.steps += 1
-            new.attempts.append(Attempt("vm-1", 1, new.steps, view.term, False,
-                                        set(new.queued_tasks(count))))
+            new.attempts.append(
+                Attempt("vm-1", 1, new.steps, view.term, False, set(new.queued_tasks(count)))
+            )
         if rng.random() < 0.25:
             new.handoff = (rng.choice(sorted(view.members)), "i")
         good, record = e.quota.plan(job, new, e.replica.job_owner(new))
@@ -147,8 +150,9 @@
         self.flights.append((name, plan, values, done))
 
     def apply(self, plan: TxnPlan, values: dict[str, Any]) -> str:
-        if any(self.rows.get(key, (None, 0))[1] != version
-               for key, version in plan.conditions.items()):
+        if any(
+            self.rows.get(key, (None, 0))[1] != version for key, version in plan.conditions.items()
+        ):
             return "conflict"
         self.write(values)
         return "ok"
@@ -215,20 +219,26 @@
 
 def _inside_the_limit_is_enough(patch: Patch) -> None:
     patch.setattr(Quota, "plan", lambda self, job, new, heir: (True, None))
-    patch.setattr(Quota, "allowed", lambda self, job, new: (
-        Amounts(LIMIT) - self.held_in_all("red")).count(job.spec))
+    patch.setattr(
+        Quota,
+        "allowed",
+        lambda self, job, new: (Amounts(LIMIT) - self.held_in_all("red")).count(job.spec),
+    )
 
 
 def _handed_over_without_charge(patch: Patch) -> None:
     plan = Quota.plan
-    patch.setattr(Quota, "plan", lambda self, job, new, heir: plan(
-        self, job, new, self.e.settings.name))
+    patch.setattr(
+        Quota, "plan", lambda self, job, new, heir: plan(self, job, new, self.e.settings.name)
+    )
 
 
-@pytest.mark.parametrize("remove", [
-    _earlier_view, _inside_the_limit_is_enough, _handed_over_without_charge])
-def test_the_limit_breaks_without_each_guard(monkeypatch: Patch,
-                                             remove: Callable[[Patch], None]) -> None:
+@pytest.mark.parametrize(
+    "remove", [_earlier_view, _inside_the_limit_is_enough, _handed_over_without_charge]
+)
+def test_the_limit_breaks_without_each_guard(
+    monkeypatch: Patch, remove: Callable[[Patch], None]
+) -> None:
     remove(monkeypatch)
     assert not all(Model(seed).play(800) for seed in range(200))
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -23,8 +23,15 @@
 from tests.test_requests import calls, engine, spec
 
 
-def rollout(seed: int, *faults: str, lower_at: float | None = 60.0, roll_at: float = 25.0,
-            every_s: float = 7.0, chains_at: float = 62.0, seconds: float = 190.0) -> World:
+def rollout(
+    seed: int,
+    *faults: str,
+    lower_at: float | None = 60.0,
+    roll_at: float = 25.0,
+    every_s: float = 7.0,
+    chains_at: float = 62.0,
+    seconds: float = 190.0,
+) -> World:
     """The version in production serves when the day begins; its controllers come back with
     the present one, troubles go on, the state service lowers its limits, and then users
     submit pipelines."""
@@ -32,8 +39,7 @@
     clock, rng = world.clock, world.clock.rng
     for number in range(16):
         one = world.spec(number)
-        cancel = 5 + rng.random() * 50 if (
-            one["shape"] == "daemon" or rng.random() < 0.3) else None
+        cancel = 5 + rng.random() * 50 if (one["shape"] == "daemon" or rng.random() < 0.3) else None
         clock.at(0.5 + rng.random() * 70, lambda one=one, x=cancel: world.submit(one, x))
     clock.at(roll_at, lambda: world.upgrade(every_s))
     for time in range(8, 100, 6):
@@ -43,31 +49,47 @@
     if lower_at is not None:
         clock.at(lower_at, lambda: world.state.lower(**NEXT))
     for number in range(5):
-        clock.at(chains_at + 5 * number, lambda n=number: pipeline(
-            world, n, 1 if n == 2 else None, 6.0, late=n == 3))
+        clock.at(
+            chains_at + 5 * number,
+            lambda n=number: pipeline(world, n, 1 if n == 2 else None, 6.0, late=n == 3),
+        )
     clock.at(100.0, world.peace)
     clock.run(seconds)
     return world
 
 
 def verdict(world: World) -> list[str]:
-    return world.judge.broken + world.judge.day_end(100.0) + [
-        f"unfinished: {job}" for job in world.unfinished()]
-
-
-@pytest.mark.parametrize(("seed", "faults"), [
-    (1, ()), (2, ("crash",)), (3, ("crash_all", "die")), (4, ("outage", "shut_out", "cut")),
-    (5, ("isolate", "alone", "peers", "hang")), (6, ("cloud", "freeze", "crash", "deaf")),
-])
-def test_old_and_new_serve_together_through_an_upgrade(seed: int, faults: tuple[str, ...]
-                                                       ) -> None:
+    return (
+        world.judge.broken
+        + world.judge.day_end(100.0)
+        + [f"unfinished: {job}" for job in world.unfinished()]
+    )
+
+
+@pytest.mark.parametrize(
+    ("seed", "faults"),
+    [
+        (1, ()),
+        (2, ("crash",)),
+        (3, ("crash_all", "die")),
+        (4, ("outage", "shut_out", "cut")),
+        (5, ("isolate", "alone", "peers", "hang")),
+        (6, ("cloud", "freeze", "crash", "deaf")),
+    ],
+)
+def test_old_and_new_serve_together_through_an_upgrade(seed: int, faults: tuple[str, ...]) -> None:
     world = rollout(seed, *faults)
     assert verdict(world) == []
     assert {node.runs for node in world.nodes.values()} == {present()}
     assert world.state.rows[FORMAT][0] == {"format": 2}
     assert world.state.too_large == 0
-    assert sum(state == "done" and bool(world.judge.jobs[job].get("tethers"))
-               for job, (state, _) in world.judge.final.items()) > 8
+    assert (
+        sum(
+            state == "done" and bool(world.judge.jobs[job].get("tethers"))
+            for job, (state, _) in world.judge.final.items()
+        )
+        > 8
+    )
 
 
 def test_limits_fall_in_an_election_an_outage_and_a_burst_of_cancellations() -> None:
@@ -97,8 +119,14 @@
         world.nodes[name].crash(0.5)
     world.nodes[world.names[2]].crash(40.0)
     for number in range(8):
-        one = {**world.spec(number), "shape": "batch", "berth": "arr", "rank": "standard",
-               "run_s": 6.0, "sail_s": 60.0}
+        one = {
+            **world.spec(number),
+            "shape": "batch",
+            "berth": "arr",
+            "rank": "standard",
+            "run_s": 6.0,
+            "sail_s": 60.0,
+        }
         world.clock.at(15.0 + number, lambda one=one: world.submit(one))
     for step in range(35):
         world.clock.run(14.0 + step)
@@ -127,26 +155,39 @@
 # --- records, views and messages -------------------------------------------
 def old_job(**changes: Any) -> Any:
     old = production()
-    kinds = {"spec": old.wire.JobSpec(**{
-        name: value for name, value in json.loads(wire.encode(
-            spec_fields())).items()}), "submitted": 12.5, "version": 7, "steps": 3}
+    kinds = {
+        "spec": old.wire.JobSpec(
+            **{name: value for name, value in json.loads(wire.encode(spec_fields())).items()}
+        ),
+        "submitted": 12.5,
+        "version": 7,
+        "steps": 3,
+    }
     job = old.jobs.Job(**{**kinds, **changes})
     job.done.add(1)
     job.done.add(4)
-    job.attempts = [old.jobs.Attempt("vm-000007", 1, 2, 41, False, {0, 2}),
-                    old.jobs.Attempt("vm-000009", 2, 3, 42, True, {3})]
+    job.attempts = [
+        old.jobs.Attempt("vm-000007", 1, 2, 41, False, {0, 2}),
+        old.jobs.Attempt("vm-000009", 2, 3, 42, True, {3}),
+    ]
     return job
 
 
 def spec_fields() -> dict[str, Any]:
     one = spec(crates=6, hulls=["h4"], quay="a", sail_s=60.0)
-    return {name: getattr(one, name) for name in one.__struct_fields__
-            if name != "needs" and getattr(one, name) is not None}
+    return {
+        name: getattr(one, name)
+        for name in one.__struct_fields__
+        if name != "needs" and getattr(one, name) is not None
+    }
 
 
 def test_records_of_the_production_version_come_back_to_it_unchanged() -> None:
-    for changes in ({}, {"cancelled": True, "cancelled_at": 1234.5, "failures": 2},
-                    {"handoff": ("n1", "x.1")}):
+    for changes in (
+        {},
+        {"cancelled": True, "cancelled_at": 1234.5, "failures": 2},
+        {"handoff": ("n1", "x.1")},
+    ):
         record = json.loads(wire.encode(old_job(**changes).encode()))
         ours = present().jobs.decode(record, 7)
         assert json.loads(wire.encode(ours.encode(1))) == record
@@ -174,29 +215,40 @@
 
 def test_unknown_messages_and_fields_of_peers_are_ignored_by_both() -> None:
     for code in (production(), present()):
-        one = code.engine.Engine(code.settings.parse(settings_file("n0", ["n0", "n1"])), "x",
-                                 random.Random(1))
-        for message in ({"kind": "of a later version", "x": 1},
-                        {"kind": "pulse", "node": "n1", "served_s": 0.1, "new": [1]},
-                        {"kind": "pulse", "node": "n1", "served_s": 0.1}):
+        one = code.engine.Engine(
+            code.settings.parse(settings_file("n0", ["n0", "n1"])), "x", random.Random(1)
+        )
+        for message in (
+            {"kind": "of a later version", "x": 1},
+            {"kind": "pulse", "node": "n1", "served_s": 0.1, "new": [1]},
+            {"kind": "pulse", "node": "n1", "served_s": 0.1},
+        ):
             one.handle([code.events.PeerMessage(message)], 100.0, 0.0)
         assert one.pulse.reached("n1")
 
 
 # --- limits ------------------------------------------------------------------
-@pytest.mark.parametrize(("announced", "kept_to"), [
-    (None, (20.0, 8.0, 12)), (NEXT, (15.0, 2.0, 5)), ({"value_kb": 4.0}, (20.0, 4.0, 12)),
-    ({"value_kb": 64.0, "txn_ops": 3, "write_rps": None, "other": 1}, (20.0, 8.0, 3)),
-    ({}, (20.0, 8.0, 12)),
-])
+@pytest.mark.parametrize(
+    ("announced", "kept_to"),
+    [
+        (None, (20.0, 8.0, 12)),
+        (NEXT, (15.0, 2.0, 5)),
+        ({"value_kb": 4.0}, (20.0, 4.0, 12)),
+        ({"value_kb": 64.0, "txn_ops": 3, "write_rps": None, "other": 1}, (20.0, 8.0, 3)),
+        ({}, (20.0, 8.0, 12)),
+    ],
+)
 def test_of_present_and_announced_limits_the_smaller_holds(
-        announced: dict[str, Any] | None, kept_to: tuple[float, float, int]) -> None:
+    announced: dict[str, Any] | None, kept_to: tuple[float, float, int]
+) -> None:
     state = parse(settings_file("n0", ["n0"], announced)).cluster.state
     assert (state.write_rps, state.value_kb, state.txn_ops) == kept_to
 
 
-@pytest.mark.parametrize("announced", [
-    {"value_kb": 0}, {"txn_ops": 2}, {"write_rps": "15"}, {"value_kb": -1}, [], "2", 5])
+@pytest.mark.parametrize(
+    "announced",
+    [{"value_kb": 0}, {"txn_ops": 2}, {"write_rps": "15"}, {"value_kb": -1}, [], "2", 5],
+)
 def test_announced_limits_that_make_no_sense_are_refused_in_one_line(announced: Any) -> None:
     with pytest.raises(SettingsError) as refused:
         parse(settings_file("n0", ["n0"], announced))
@@ -219,8 +271,15 @@
     e.value_bytes = 1700
     types = ["h4", *(f"type-{number:04d}" for number in range(200))]
     for cancelled in (False, True):
-        job = e.slim(Job(spec(hulls=types), 0.0, 3, cancelled=cancelled,
-                         attempts=[Attempt("vm-1", 1, 1, 1, False, {0})]))
+        job = e.slim(
+            Job(
+                spec(hulls=types),
+                0.0,
+                3,
+                cancelled=cancelled,
+                attempts=[Attempt("vm-1", 1, 1, 1, False, {0})],
+            )
+        )
         assert job.spec.types == ["h4"] and e.fits(job)
     assert e.slim(Job(spec(hulls=["h4", "x"]), 0.0, 3)).spec.types == ["h4", "x"]
 
@@ -236,8 +295,13 @@
         if e.replica.owner_of(f"vm-{number:06d}") == "n0":
             e.workers.learn(report(f"vm-{number:06d}", 1))
     name = next(f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0")
-    e.replica.set_job(Job(spec(id=name, crates=20, owner="red", memory_gb=9.0,
-                               cargo="i" * 180, berth="b" * 180), 0.0, 2))
+    e.replica.set_job(
+        Job(
+            spec(id=name, crates=20, owner="red", memory_gb=9.0, cargo="i" * 180, berth="b" * 180),
+            0.0,
+            2,
+        )
+    )
     tries: list[float] = []
     bounds = {e.value_bytes}
     start = e.now
@@ -262,5 +326,6 @@
 def test_the_format_is_told_with_the_member_key() -> None:
     world = World(12)
     world.clock.run(5.0)
-    assert {row[0]["format"] for key, row in world.state.rows.items()
-            if key.startswith(MEMBERS)} == {membership.NEWEST_FORMAT}
+    assert {
+        row[0]["format"] for key, row in world.state.rows.items() if key.startswith(MEMBERS)
+    } == {membership.NEWEST_FORMAT}
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -19,9 +19,21 @@
     """One idle machine in each of the zones given; then the job, of tasks as large as a
     machine, is submitted."""
     world = World(5, capacity=20)
-    base = {**world.spec(0), "shape": "daemon", "rank": "production", "berth": "svc",
-            "owner": "red", "crates": 1, "cores": 4.0, "memory_gb": 2.0, "together": False,
-            "scatter": False, "standby": False, "sail_s": None, "run_s": 1e9}
+    base = {
+        **world.spec(0),
+        "shape": "daemon",
+        "rank": "production",
+        "berth": "svc",
+        "owner": "red",
+        "crates": 1,
+        "cores": 4.0,
+        "memory_gb": 2.0,
+        "together": False,
+        "scatter": False,
+        "standby": False,
+        "sail_s": None,
+        "run_s": 1e9,
+    }
     for number, quay in enumerate(quays, 1):
         world.submit({**base, "id": f"job-{number:06d}", "quay": quay}, 26.0)
     world.clock.run(42.0)
@@ -31,18 +43,26 @@
 
 
 def places(world: World) -> list[str]:
-    return sorted(row["quay"] for task, there in world.judge.on.items()
-                  if task.startswith("job-000099/") for row in there.values())
+    return sorted(
+        row["quay"]
+        for task, there in world.judge.on.items()
+        if task.startswith("job-000099/")
+        for row in there.values()
+    )
 
 
-@pytest.mark.parametrize(("quays", "job", "zones"), [
-    ("aabb", {"together": True, "crates": 5}, 1),
-    ("aaaa", {"scatter": True, "crates": 4}, 2),
-    ("aabb", {"together": True, "crates": 5, "shape": "batch"}, 1),
-    ("aaaa", {"scatter": True, "crates": 4, "shape": "batch"}, 2),
-])
+@pytest.mark.parametrize(
+    ("quays", "job", "zones"),
+    [
+        ("aabb", {"together": True, "crates": 5}, 1),
+        ("aaaa", {"scatter": True, "crates": 4}, 2),
+        ("aabb", {"together": True, "crates": 5, "shape": "batch"}, 1),
+        ("aaaa", {"scatter": True, "crates": 4, "shape": "batch"}, 2),
+    ],
+)
 def test_machines_are_rented_in_the_zone_that_lacks_them(
-        monkeypatch: pytest.MonkeyPatch, quays: str, job: dict[str, object], zones: int) -> None:
+    monkeypatch: pytest.MonkeyPatch, quays: str, job: dict[str, object], zones: int
+) -> None:
     """Room of two zones counted as one: nothing was rented and nothing returned, while the
     service waited for ever."""
     world = idle_machines(quays, **job)
@@ -53,7 +73,8 @@
 
 
 def test_a_job_is_handed_to_room_in_a_zone_that_is_open_to_it(
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Its last task was passed round for ever between two controllers with room in the
     other zone, while a third one had room in the right zone."""
     job = {"together": True, "crates": 5, "shape": "batch"}
@@ -71,14 +92,23 @@
     return sum(room.count(spec) for room in rooms if placement.allowed_on(spec, room))
 
 
-@pytest.mark.parametrize(("rule", "zones", "fit"), [
-    ({}, {"a": 3}, 7), ({"together": True}, {}, 4), ({"together": True}, {"a": 1}, 3),
-    ({"together": True}, {"a": 0, "b": 2}, 4), ({"together": True}, {"c": 1}, 0),
-    ({"scatter": True}, {}, 4), ({"scatter": True}, {"a": 2}, 2), ({"scatter": True}, {"b": 1}, 3),
-    ({"scatter": True, "together": True}, {}, 2),
-    ({"scatter": True, "together": True}, {"a": 2}, 0),
-])
-def test_room_by_the_rules_of_zone(rule: dict[str, object], zones: dict[str, int],
-                                   fit: int) -> None:
+@pytest.mark.parametrize(
+    ("rule", "zones", "fit"),
+    [
+        ({}, {"a": 3}, 7),
+        ({"together": True}, {}, 4),
+        ({"together": True}, {"a": 1}, 3),
+        ({"together": True}, {"a": 0, "b": 2}, 4),
+        ({"together": True}, {"c": 1}, 0),
+        ({"scatter": True}, {}, 4),
+        ({"scatter": True}, {"a": 2}, 2),
+        ({"scatter": True}, {"b": 1}, 3),
+        ({"scatter": True, "together": True}, {}, 2),
+        ({"scatter": True, "together": True}, {"a": 2}, 0),
+    ],
+)
+def test_room_by_the_rules_of_zone(
+    rule: dict[str, object], zones: dict[str, int], fit: int
+) -> None:
     rooms = [room("m1", 2), room("m2", 1), room("m3", 4, "b")]
     assert placement.room_for(spec(crates=4, memory_gb=0.0, **rule), rooms, zones) == fit
