Attempts are re-examined where something changed; waiting writes are sorted less often

Cause: every report made its controller look again at all attempts of every job with a task on that machine, and copy the job; every batch sorted all waiting calls to the state service, and every pass over the queue computed the urgency of arrays that it was not going to place. A team's sums are kept until one of its jobs changes.

--- a/appledock/app.py
+++ b/appledock/app.py
@@ -73,6 +73,7 @@
             self._spawn(link.run())
         log.info("%s listens on %s", self.settings.name, self.settings.listen)
         gc.freeze()
+        gc.set_threshold(c.GC_ALLOCATIONS)
         self.push(ev.Tick())
         while True:
             await asyncio.sleep(c.TICK_S)
@@ -88,7 +89,8 @@
             if self.loop.time() >= self.next_batch:
                 self.loop.call_soon(self._work)
             else:
-                self.loop.call_at(self.next_batch, self._work)
+                # One pass of the loop later: answers read in the same pass come along.
+                self.loop.call_at(self.next_batch, self.loop.call_soon, self._work)
 
     def _work(self) -> None:
         self.scheduled = False
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -87,6 +87,9 @@
 STEP_PATIENCE_S = 6.0
 """s; a call that has waited so long is given up and decided anew. Steps of arrays and
 lists of finished tasks wait longer: given up too soon, they would never get their turn."""
+TURN_EVERY_S = 0.02
+"""s; calls that wait for the limit are put in order at most so often: one write takes
+three times as long to come in at the usual rates."""
 SPENT_S = 2.0
 """s; over which a controller averages what it writes, to tell the others."""
 WRITES_MORE = 2.0
@@ -320,6 +323,9 @@
 BATCH_EVERY_S = 0.01
 """s; least distance of two batches: what comes meanwhile is worked through together.
 Answers to users may take 200 ms and the state service takes some itself."""
+GC_ALLOCATIONS = 50_000
+"""objects; allocated, less those freed, before the garbage collector looks for cycles.
+There are few cycles, and the default of 700 means a look several times in each batch."""
 TICK_S = 0.05
 """s; how often the engine looks at its timers."""
 CONNECT_TIMEOUT_S = 1.0
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -77,6 +77,12 @@
     """writes/s never planned beyond"""
     spent: float = 0.0
     """writes/s sent lately"""
+    news: bool = False
+    """has a call been added since the queues were last gone through?"""
+    last_turn: float = 0.0
+    """s; when that was"""
+    unused: float = 0.0
+    """s; since then, or since nothing waited"""
     queues: list[deque[Waiting]] = field(default_factory=lambda: [deque() for _ in Priority])
 
     def size(self) -> int:
@@ -87,6 +93,7 @@
         if call.priority > Priority.VIEW and self.size() >= c.CALL_QUEUE_MAX:
             return False
         self.queues[call.priority].append(call)
+        self.news = True
         return True
 
     def withdraw(self, call: Waiting) -> bool:
@@ -112,6 +119,10 @@
         """Calls of this priority or a more urgent one that wait."""
         return sum(len(queue) for queue in self.queues[: priority + 1])
 
+    def _turn_due(self, now: float) -> bool:
+        """Time fills the buckets, but not within a few milliseconds."""
+        return self.news or now >= self.last_turn + c.TURN_EVERY_S
+
     def _in_turn(self) -> list[Waiting]:
         """All that waits, taken from the queues, in the order in which it is served.
 
@@ -134,12 +145,18 @@
         A call that lacks writes holds back writes of lower priority, but not
         reads: otherwise a large transaction would never get its turn.
         """
-        elapsed = now - self.writes.at
-        self.spent *= math.exp(-max(0.0, elapsed) / c.SPENT_S)
+        since = max(0.0, now - self.writes.at)
+        self.spent *= math.exp(-since / c.SPENT_S)
+        self.unused += since
         self.requests.refill(now)
         self.writes.refill(now)
         if not any(self.queues):
+            self.unused = 0.0
+            return [], []
+        if not self._turn_due(now):
             return [], []
+        elapsed, self.unused = self.unused, 0.0
+        self.news, self.last_turn = False, now
         send: list[Waiting] = []
         expired: list[Waiting] = []
         blocked = False
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -194,7 +194,9 @@
             replica.settings_changed = False
             self.admin.apply()
         if replica.changed_jobs:
-            self.quota.forget_caches()
+            for team in replica.changed_teams:
+                self.quota.forget(team)
+            replica.changed_teams.clear()
             for job_id in sorted(replica.changed_jobs):
                 if job_id in replica.jobs:
                     self.fleet.note(replica.jobs[job_id])
@@ -202,6 +204,8 @@
                         self.steps.ready_at.setdefault(job_id, self.wall)
                 self.steps.dirty.add(job_id)
             replica.changed_jobs.clear()
+            for machine in replica.changed_machines:
+                self.steps.settlement.machine_changed(machine)
             self.workers.orders_due |= replica.changed_machines
             self.rooms.dirty |= replica.changed_machines
             replica.changed_machines.clear()
--- a/appledock/core/quota.py
+++ b/appledock/core/quota.py
@@ -143,14 +143,23 @@
         self.writing: set[str] = set()
         """teams with a write under way"""
         self.held_cache: dict[str, Shares] = {}
+        self.totals: dict[str, Amounts] = {}
+        """team -> what its jobs hold together"""
         self.allowed_cache: dict[str, tuple[Shares, Amounts]] = {}
 
     # --- what is held -----------------------------------------------------
     def forget_caches(self) -> None:
-        """Called whenever jobs, owners, records or writes under way have changed."""
+        """Owners, or anything of all teams, may have changed."""
         self.held_cache.clear()
+        self.totals.clear()
         self.allowed_cache.clear()
 
+    def forget(self, team: str) -> None:
+        """The team's jobs, its record or a write under way for it have changed."""
+        self.held_cache.pop(team, None)
+        self.totals.pop(team, None)
+        self.allowed_cache.pop(team, None)
+
     def on_view(self) -> None:
         """Unanswered writes were conditional on the former view: they are void."""
         self.pending.clear()
@@ -182,7 +191,10 @@
         return amount
 
     def held_in_all(self, team: str) -> Amounts:
-        return total(self.held(team))
+        amount = self.totals.get(team)
+        if amount is None:
+            amount = self.totals[team] = total(self.held(team))
+        return amount
 
     def inside(self, job: Job) -> bool:
         """Is the job, with all that the team's others hold, within the guarantee?"""
@@ -309,11 +321,11 @@
             lowered = (record.version, was.least(Amounts(*record.shares.get(me, (0.0, 0.0)))))
             earlier_low = self.lowered.get(name)
             self.lowered[name] = lowered
-        self.forget_caches()
+        self.forget(name)
         term = self.e.membership.term
 
         def ended(outcome: str) -> None:
-            self.forget_caches()
+            self.forget(name)
             if record is not None:
                 self.writing.discard(name)
             if outcome == "unknown" or self.e.membership.term != term:
--- a/appledock/core/replica.py
+++ b/appledock/core/replica.py
@@ -132,6 +132,8 @@
         self.changed_jobs: set[str] = set()
         self.changed_machines: set[str] = set()
         """machines whose recorded attempts have changed"""
+        self.changed_teams: set[str] = set()
+        """teams whose jobs or records have changed"""
         self.view_changed = False
         self.members_changed = False
         self.settings_changed = False
@@ -265,6 +267,7 @@
             if job is not None:
                 self._queue(job)
                 self.changed_jobs.add(job_id)
+                self.changed_teams.add(job.spec.team)
 
     def _queue(self, job: Job) -> None:
         if job.queued > 0 and job.id not in self.needs.waiting:
@@ -292,6 +295,7 @@
         if job.cancelled:
             self.cancelled.add(job.id)
         self.changed_jobs.add(job.id)
+        self.changed_teams.add(job.spec.team)
         self._follow_needs()
 
     def _index(self, old: Job | None, new: Job | None) -> None:
@@ -320,6 +324,7 @@
             self.queued.discard(job_id)
             self.cancelled.discard(job_id)
             self.needs.dropped(job_id)
+            self.changed_teams.add(job.spec.team)
             team = self.by_team.get(job.spec.team)
             if team is not None:
                 team.discard(job_id)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -15,6 +15,7 @@
 from appledock.core.placement import Room
 from appledock.core.preemption import Preemption
 from appledock.core.replica import FINAL, JOBS, TEAMS, Team
+from appledock.core.settlement import Settlement
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -49,6 +50,7 @@
         we saw"""
         self.freed: dict[str, float] = {}
         """job -> since when it has lost tasks that are not recorded as lost yet"""
+        self.settlement = Settlement(engine)
         self.preemption = Preemption(engine)
         self.next_queue = 0.0
         self.next_arrays = 0.0
@@ -68,14 +70,14 @@
         replica = self.e.replica
         for worker in self.changed_workers:
             self.dirty.update(replica.by_machine.get(worker, ()))
+            self.settlement.machine_changed(worker)
         self.changed_workers.clear()
         if self.e.now >= self.next_sweep:
             self.next_sweep = self.e.now + c.SWEEP_EVERY_S
-            self.dirty.update(
-                j
-                for j, job in replica.jobs.items()
-                if (job.attempts or replica.withdrawn(j)) and self.e.owns_job(job)
-            )
+            for job_id, open_job in replica.jobs.items():
+                if (open_job.attempts or replica.withdrawn(job_id)) and self.e.owns_job(open_job):
+                    self.dirty.add(job_id)
+                    self.settlement.examine_all(job_id)
             self._watch_lost()
             self._release_shares()
             if replica.queued:
@@ -141,6 +143,7 @@
         )
         for table in tables:
             table.pop(job_id, None)
+        self.settlement.forget(job_id)
 
     def _ready(self, job: Job) -> bool:
         return job.id not in self.busy and self.e.now >= self.retry_at.get(job.id, 0.0)
@@ -200,29 +203,6 @@
         return changed
 
     # --- settling ---------------------------------------------------------
-    def apply_evidence(self, job: Job) -> Job | None:
-        """A copy of the job without its settled attempts; None if none is settled."""
-        verdicts: list[tuple[int, int, str]] = []
-        for index, attempt in enumerate(job.attempts):
-            for task in attempt.tasks:
-                verdict = self.e.workers.verdict(job, attempt, task)
-                if verdict is not None:
-                    verdicts.append((index, task, verdict))
-        if not verdicts:
-            return None
-        new = job.copy()
-        for index, task, verdict in verdicts:
-            attempt = new.attempts[index]
-            attempt.tasks.discard(task)
-            if verdict == "done":
-                new.done.add(task)
-                new.failures = 0
-            elif verdict == "error":
-                new.failures += 1
-                self.e.fleet.task_failed(attempt.machine, job.id)
-        new.attempts = [attempt for attempt in new.attempts if attempt.tasks]
-        return new
-
     def _settle(self, job: Job) -> None:
         if not self._ready(job):
             # Those cancelled with another one too: refused once, their end was never
@@ -230,10 +210,10 @@
             if job.attempts or self.e.replica.withdrawn(job.id):
                 self.later.add(job.id)
             return
-        new = self.apply_evidence(job)
+        new = self.settlement.settled(job)
         over = self._over(new or job)
         if job.id in self.stops and not over:
-            stopped = new or job.copy()
+            stopped = self.settlement.apply(job)
             if self._apply_stops(stopped):
                 self._commit(job, stopped, Priority.URGENT)
                 return
@@ -243,12 +223,11 @@
             return
         self.e.queue_dirty = True
         if over:
-            self._commit(job, new or job.copy(), Priority.FINAL)
+            self._commit(job, self.settlement.apply(job), Priority.FINAL)
         elif new is not None and new.queued > job.queued and self._step_first(job.id):
             self.later.add(job.id)
         elif self.e.now >= self.written_at.get(job.id, -1e9) + self._progress_every(job):
-            assert new is not None
-            self._commit(job, new, Priority.PROGRESS)
+            self._commit(job, self.settlement.apply(job), Priority.PROGRESS)
         else:
             self.later.add(job.id)
 
@@ -324,21 +303,24 @@
             )
             if self.e.owns_job(job)
         ]
-        if not waiting:
+        # Room that running tasks free comes by and by: gathered for a moment, it is
+        # taken by one job in one step, not by each in one of its own.
+        arrays = bool(waiting) and self.e.now >= self.next_arrays and not self._hold_back()
+        if arrays:
+            self.next_arrays = self.e.now + (c.GATHER_CROWDED_S if self._crowded() else c.GATHER_S)
+        ready = [job for job in waiting if self._ready(job) and (arrays or job.spec.service)]
+        if len(ready) < len(waiting):
+            self.e.queue_dirty = True
+        if not ready:
             return
         self.e.rooms.refresh()
         rooms = list(self.e.rooms.open.values())
         own = [room for room in rooms if room.owner == self.e.settings.name]
         self.preemption.refresh()
         full = _Full()
-        # Room that running tasks free comes by and by: gathered for a moment, it is
-        # taken by one job in one step, not by each in one of its own.
-        arrays = self.e.now >= self.next_arrays and not self._hold_back()
-        if arrays:
-            self.next_arrays = self.e.now + (c.GATHER_CROWDED_S if self._crowded() else c.GATHER_S)
-        for job in sorted(waiting, key=lambda job: (self.urgency(job), job.id)):
-            if not self._ready(job) or not (arrays or job.spec.service):
-                self.e.queue_dirty = True
+        for job in sorted(ready, key=lambda job: (self.urgency(job), job.id)):
+            if not self._ready(job):
+                self.e.queue_dirty = True  # a step of another one took its write back
                 continue
             if full.covers(job.spec, self.e.rank(job)):
                 # Like tasks are decided as a class: nothing this large fits now.
@@ -355,7 +337,7 @@
         if limits is None:
             self.blocked[job.id] = "unknown team"
             return False
-        new = self.apply_evidence(job) or job.copy()
+        new = self.settlement.apply(job)
         most = self.e.quota.allowed(job, new)
         gang = job.spec.gang
         count = min(new.queued, most, new.queued if gang else int(self.e.admin["step_tasks"]))
@@ -468,7 +450,7 @@
         """Pass a job on without placing anything."""
         view = self.e.replica.view
         assert view is not None
-        new = self.apply_evidence(job) or job.copy()
+        new = self.settlement.apply(job)
         new.handoff = (node, view.members[node])
         return self._commit(job, new, self._priority(job))
 
@@ -628,7 +610,7 @@
     def _team_written(self, team: str, record: Team, revision: int) -> None:
         self.e.quota.sure[team] = revision
         self.e.replica.put(TEAMS + team, record.encode(), revision)
-        self.e.quota.forget_caches()
+        self.e.quota.forget(team)
 
     def _release_shares(self) -> None:
         """Give up shares of teams' limits that more urgent jobs of others lack."""
--- a/appledock/net/http.py
+++ b/appledock/net/http.py
@@ -258,6 +258,11 @@
         if self.future is not None and not self.future.done():
             self.future.set_result((status, bytes(self.body)))
 
+    def give_up(self, future: asyncio.Future[tuple[int, bytes]]) -> None:
+        """The request's time is over; the answer may still come."""
+        if not future.done():
+            future.set_exception(NoAnswer("timed out"))
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -318,18 +323,18 @@
         if body or method == "POST":
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         connection.transport.write(head.encode() + b"\r\n" + body)
+        # A timer of our own: `wait_for` costs a future and three passes of the loop more.
+        timer = self.loop.call_at(
+            max(deadline, self.loop.time() + 0.01), connection.give_up, connection.future
+        )
         try:
-            result = await asyncio.wait_for(
-                connection.future, max(0.01, deadline - self.loop.time())
-            )
-        except TimeoutError:
-            connection.future = None
-            connection.close()
-            raise NoAnswer("timed out") from None
-        except asyncio.CancelledError:
+            result = await connection.future
+        except (NoAnswer, asyncio.CancelledError):
             connection.future = None
             connection.close()
             raise
+        finally:
+            timer.cancel()
         connection.future = None
         if connection.transport is not None and len(self.idle) < 8 and not self.closed:
             self.idle.append(connection)
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -1,6 +1,7 @@
 """What the controllers' work costs as a cluster grows: a repeatable load in one process.
 
     python3 -m tests.standins.load 40 400
+    python3 -m tests.standins.load --chains 1000
 
 Not a test: times depend on the machine. It prints, for each size, the mean and the
 longest time of each kind of work, and the processor time that a controller took.
@@ -22,6 +23,9 @@
 from tests.standins.world import World
 
 SECONDS = 80
+"""s of simulated time"""
+PIPELINE_EVERY_S = 6
+"""s between two pipelines"""
 WORK: list[tuple[str, type, str]] = [
     ("batch", Engine, "handle"),
     ("report", Workers, "on_report"),
@@ -76,12 +80,66 @@
     }
 
 
-def play(machines: int) -> World:
-    """Jobs arrive for a cluster of this size; one controller restarts at 50 s."""
+def stage(world: World, job: str, tasks: int, needs: list[str], last: bool) -> dict[str, Any]:
+    """One array of a pipeline; only the last one has a deadline and a high priority."""
+    rng = world.clock.rng
+    return {
+        **body(world, 0, False),
+        "id": job,
+        "crates": tasks,
+        "rank": "urgent" if last else "best_effort",
+        "tethers": needs or None,
+        "sail_s": 180.0 if last else None,
+        "run_s": rng.lognormvariate(3.0, 0.4),
+    }
+
+
+def submit_pipeline(world: World, number: int) -> None:
+    """Two to four wide arrays between a small first and two small last stages."""
+    rng = world.clock.rng
+    names = [f"job-8{number:04d}{place}" for place in range(7)]
+    wide = names[1 : 1 + rng.randint(2, 4)]
+    stages: list[tuple[str, int, list[str]]] = [(names[0], 6, [])]
+    stages += [(name, min(240, int(rng.lognormvariate(4.1, 0.5))), [names[0]]) for name in wide]
+    stages += [(names[5], 3, wide), (names[6], 3, [names[0], names[5]])]
+
+    def submit(place: int) -> None:
+        job, tasks, needs = stages[place]
+        if all(need in world.judge.accepted for need in needs):
+            world.submit(stage(world, job, tasks, needs, place == len(stages) - 1))
+        else:
+            world.clock.after(0.3, lambda: submit(place))
+
+    for place in range(len(stages)):
+        submit(place)
+
+
+def play(machines: int, chains: bool = False) -> World:
+    """Jobs arrive for a cluster of this size; one controller restarts at 50 s.
+
+    With `chains`, pipelines arrive too, under the lowered limits of the state service
+    from 20 s on, so that many steps wait for their writes.
+    """
     scale = machines / 400
+    teams = dict(worlds.TEAMS)
     worlds.TEAMS.clear()
     worlds.TEAMS.update({f"t{i}": (400 * scale, 1200 * scale) for i in range(4)})
-    world = World(7, capacity=machines)
+    try:
+        return _play(machines, scale, chains)
+    finally:
+        worlds.TEAMS.clear()
+        worlds.TEAMS.update(teams)
+
+
+def _play(machines: int, scale: float, chains: bool) -> World:
+    world = World(7, capacity=machines, announced=worlds.NEXT if chains else None)
+    if chains:
+        world.clock.at(20.0, lambda: world.state.lower(**worlds.NEXT))
+        for number in range(int(SECONDS / PIPELINE_EVERY_S) - 1):
+            world.clock.at(
+                5.0 + number * PIPELINE_EVERY_S,
+                lambda number=number: submit_pipeline(world, number),
+            )
     rng, due, number = world.clock.rng, 0.5, 0
     while due < SECONDS:
         number += 1
@@ -89,16 +147,16 @@
         job = body(world, number, service)
         cancel = 60 + rng.expovariate(1 / 150) if service else None
         world.clock.at(due, lambda j=job, x=cancel: world.submit(j, x))
-        due += rng.expovariate((2.6 if due < 20 else 0.65) * scale)
+        due += rng.expovariate((2.6 if due < 20 else 0.65) * (0.7 if chains else scale))
     world.clock.at(50.0, lambda: world.nodes["n1"].crash(0.3))
     world.clock.run(float(SECONDS))
     return world
 
 
-def main(sizes: list[int]) -> None:
+def main(sizes: list[int], chains: bool) -> None:
     for machines in sizes:
         timers = {label: Timer(owner, name) for label, owner, name in WORK}
-        world = play(machines)
+        world = play(machines, chains)
         print(
             f"{machines} machines at most, {len(world.cloud.workers)} up, "
             f"{len(world.judge.jobs)} jobs, {world.judge.starts} tasks started, "
@@ -115,4 +173,5 @@
 
 
 if __name__ == "__main__":
-    main([int(size) for size in sys.argv[1:]] or [40, 400])
+    words = sys.argv[1:]
+    main([int(word) for word in words if word != "--chains"] or [40, 400], "--chains" in words)
