--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -85,8 +85,10 @@
 of finished tasks wait for their write."""
 PATIENCE_S = 3.0
 STEP_PATIENCE_S = 6.0
-"""s; a call that has waited so long is given up and decided anew. Steps of arrays and
-lists of finished tasks wait longer: given up too soon, they would never get their turn."""
+"""s; a call that has waited so long is given up and decided anew. Steps of arrays, lists of
+finished tasks and ends of jobs wait longer: given up too soon, they would never get their
+turn. An end is the same write when it is decided anew, but at the end of the queue: with
+the shorter time, more than half of the ends of some classes were given up."""
 TURN_EVERY_S = 0.02
 """s; calls that wait for the limit are put in order at most so often: one write takes
 three times as long to come in at the usual rates."""
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -223,7 +223,11 @@
             return
         self.e.queue_dirty = True
         if over:
-            self._commit(job, self.settlement.apply(job), Priority.FINAL)
+            # Other jobs can start only once this end is written.
+            needed = job.id in self.e.replica.needs.dependents
+            self._commit(
+                job, self.settlement.apply(job), Priority.URGENT if needed else Priority.FINAL
+            )
         elif new is not None and new.queued > job.queued and self._step_first(job.id):
             self.later.add(job.id)
         elif self.e.now >= self.written_at.get(job.id, -1e9) + self._progress_every(job):
@@ -333,48 +337,29 @@
         """Request the job's next step, or hand it on; False if neither can be."""
         if self.preemption.claimed:
             own = [room for room in own if self.preemption.free_for(room.machine, job)]
-        limits = self.e.teams.get(job.spec.team)
-        if limits is None:
+        if job.spec.team not in self.e.teams:
             self.blocked[job.id] = "unknown team"
             return False
-        new = self.settlement.apply(job)
-        most = self.e.quota.allowed(job, new)
-        gang = job.spec.gang
-        count = min(new.queued, most, new.queued if gang else int(self.e.admin["step_tasks"]))
-        if count <= 0 or (gang and count < new.queued):
+        rest = self.settlement.settled(job) or job
+        count = self._step_size(job, rest)
+        zones = self.zones(rest)
+        if count <= 0:
             self.blocked[job.id] = "team limit"
-            zones = self.zones(new)
-            if gang or zones is None:
-                return False
-            handoff = self.preemption.make_room(job, 1, zones, within_team=True)
-            return handoff is not None and self._hand_over(job, handoff)
-        if job.spec.kind == wire.GANG and new.attempts:
+            return zones is not None and self._within_team(job, zones)
+        if job.spec.kind == wire.GANG and rest.attempts:
             self.blocked[job.id] = "rest of the gang is not settled"
             return False
-        zones = self.zones(new)
         if zones is None and (job.spec.one_zone or job.spec.spread):
             self.blocked[job.id] = "machines of its running tasks unknown"
             return False
-        if job.spec.service and not gang and zones is not None:
-            # A service is felt at once: wait for the image as little as can be.
-            better = self.preemption.better(job, rooms, zones)
+        if job.spec.service and not job.spec.gang and zones is not None:
+            better = self._better_elsewhere(job, rooms, own, zones)
             if better == self.e.settings.name:
                 self.blocked[job.id] = "room is being made"
                 return False
-            if better is not None and not (
-                self.pressed()
-                and any(
-                    room.fits(job.spec) and placement.allowed_on(job.spec, room) for room in own
-                )
-            ):
+            if better is not None:
                 return self._hand_over(job, better)
-        placed = placement.place(
-            job.spec, count, own, self.e.rng, zones or {}, gang, int(self.e.admin["sample"])
-        )
-        if gang and not placed and self.e.membership.leader():
-            # What fits no part is placed by the leader over all machines; the rest
-            # is handed on, or leader and owner would fill the same room twice.
-            placed = placement.place(job.spec, count, rooms, self.e.rng, zones or {}, gang)
+        placed = self._find_room(job, count, rooms, own, zones or {})
         if not placed and self.preemption.claims.get(job.id):
             self.blocked[job.id] = "room is being made"
             return False
@@ -382,25 +367,76 @@
         used = dict(zones or {})
         for room, number in placed:
             used[room.zone] = used.get(room.zone, 0) + number
-        handoff = self._hand_off(job, rooms, left, gang, used) if left else None
+        handoff = self._hand_off(job, rooms, left, job.spec.gang, used) if left else None
         if not placed and handoff is None:
-            if job.spec.service and self._take_back(job):
-                self.blocked[job.id] = "room is being made"
-                self.e.queue_dirty = True
-                return False
-            if not gang and zones is not None:
-                handoff = self.preemption.make_room(job, count, zones)
+            handoff = self._without_room(job, count, zones)
             if handoff is None:
-                self.blocked[job.id] = "no room"
                 return False
         self.blocked.pop(job.id, None)
-        tasks = new.queued_tasks(count - left)
+        return self._request_step(job, rest, placed, handoff)
+
+    def _step_size(self, job: Job, rest: Job) -> int:
+        """How many tasks the next step may have; 0: the team's limit allows none."""
+        most = self.e.quota.allowed(job, rest)
+        if job.spec.gang:
+            return rest.queued if most >= rest.queued else 0
+        return min(rest.queued, most, int(self.e.admin["step_tasks"]))
+
+    def _within_team(self, job: Job, zones: dict[str, int]) -> bool:
+        """The team's limit lacks: its own work of lower rank makes room, here or elsewhere."""
+        if job.spec.gang:
+            return False
+        handoff = self.preemption.make_room(job, 1, zones, within_team=True)
+        return handoff is not None and self._hand_over(job, handoff)
+
+    def _better_elsewhere(
+        self, job: Job, rooms: list[Room], own: list[Room], zones: dict[str, int]
+    ) -> str | None:
+        """The controller with which a replica waits least for its image: a service is felt
+        at once. Our own name: room is being made here. None: placed here as usual."""
+        better = self.preemption.better(job, rooms, zones)
+        if better is None or better == self.e.settings.name:
+            return better
+        here = any(room.fits(job.spec) and placement.allowed_on(job.spec, room) for room in own)
+        return None if here and self.pressed() else better
+
+    def _find_room(
+        self, job: Job, count: int, rooms: list[Room], own: list[Room], zones: dict[str, int]
+    ) -> list[tuple[Room, int]]:
+        gang, sample = job.spec.gang, int(self.e.admin["sample"])
+        placed = placement.place(job.spec, count, own, self.e.rng, zones, gang, sample)
+        if gang and not placed and self.e.membership.leader():
+            # What fits no part is placed by the leader over all machines; the rest
+            # is handed on, or leader and owner would fill the same room twice.
+            placed = placement.place(job.spec, count, rooms, self.e.rng, zones, gang)
+        return placed
+
+    def _without_room(self, job: Job, count: int, zones: dict[str, int] | None) -> str | None:
+        """No controller has room: make some. The controller whose machines could be
+        cleared, if none of ours can."""
+        if job.spec.service and self._take_back(job):
+            self.blocked[job.id] = "room is being made"
+            self.e.queue_dirty = True
+            return None
+        handoff = None
+        if not job.spec.gang and zones is not None:
+            handoff = self.preemption.make_room(job, count, zones)
+        if handoff is None:
+            self.blocked[job.id] = "no room"
+        return handoff
+
+    def _request_step(
+        self, job: Job, rest: Job, placed: list[tuple[Room, int]], handoff: str | None
+    ) -> bool:
+        """Write the step: what is settled, the new attempts, and who owns the job then."""
+        view = self.e.replica.view
+        assert view is not None
+        new = rest.copy()
+        tasks = new.queued_tasks(sum(number for _, number in placed))
         if placed:
             # Being handed on is no beginning: jobs passed round for minutes counted as
             # begun, and their age moved them no further.
             new.steps += 1
-        view = self.e.replica.view
-        assert view is not None
         for room, number in placed:
             part, tasks = tasks[:number], tasks[number:]
             new.attempts.append(
@@ -415,7 +451,7 @@
             # tasks wait until some are settled, the job is never stuck.
             for room, _ in placed:
                 self.e.rooms.touch(room.machine)
-            if gang or len(placed) < 2:
+            if job.spec.gang or len(placed) < 2:
                 self.blocked[job.id] = "record full"
                 return False
             return self._commit_part(job, new, placed)
@@ -574,7 +610,7 @@
                 pause = min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(10, tries - 1))
             self.retry_at[job.id] = self.e.now + pause
 
-        patience = c.STEP_PATIENCE_S if priority >= Priority.STEP else c.PATIENCE_S
+        patience = c.STEP_PATIENCE_S if over or priority >= Priority.STEP else c.PATIENCE_S
         call = self.e.store("txn", (plan,), priority, done, patience)
         if call is not None:
             self.calls[job.id] = call
