Machines for the next stage of a pipeline are rented before it is ready

A stage now counts as demand for machines when the jobs that it needs are, by their estimates, to end within a boot time, if a deadline behind it can still be met or an objective limits its wait.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -253,6 +253,10 @@
 SOON_SHARE = 0.8
 """ratio; of boot and fetch within which running tasks must be over, by their
 estimates, for their room to stand in for a new machine. Estimates are often wrong."""
+AHEAD_SHARE = 1.0
+"""ratio of boot time; a job whose needs are to end within it counts as demand for machines."""
+NO_DEADLINE_S = 1e8
+"""s; three years: a later end of a job stands for no deadline."""
 BOOT_LATE = 3.0
 """ratio of boot time after which a machine is replaced and deleted."""
 BOOT_LATE_MIN_S = 20.0
--- a/appledock/core/aims.py
+++ b/appledock/core/aims.py
@@ -51,6 +51,10 @@
             spec.deadline_s * times for times in self._of(self.times, spec.job_class) or {1.0}
         )
 
+    def limits_wait(self, spec: wire.JobSpec) -> bool:
+        """Does an objective limit how long a job of the class waits for its start?"""
+        return bool(self._of(self.wait, spec.job_class))
+
     def aged(self, spec: wire.JobSpec) -> float:
         """s of waiting after which a job that has not begun comes first in its rank."""
         limits = self._of(self.wait, spec.job_class)
--- a/appledock/core/fleet.py
+++ b/appledock/core/fleet.py
@@ -15,6 +15,7 @@
 from appledock.core import placement, quota
 from appledock.core.budget import Priority
 from appledock.core.events import CloudCall, CloudReply, PeerSend, Put, StoreReply, TxnPlan
+from appledock.core.forecast import Forecast
 from appledock.core.jobs import Job
 from appledock.core.placement import Room
 from appledock.core.replica import CATALOGUE
@@ -523,14 +524,16 @@
                 yield Room("", room.type, room.zone, room.spot, 0, cpus, gpus, memory)
 
     def _demand(self) -> list[tuple[Job, int]]:
-        """Queued tasks that their teams' limits admit, most urgent first."""
+        """Queued tasks that their teams' limits admit, most urgent first, and then those
+        of jobs that will be ready soon."""
         e = self.e
         held: dict[str, quota.Amounts] = {}
         result = []
-        for job in sorted(
+        queued = sorted(
             (e.replica.jobs[j] for j in e.replica.queued),
             key=lambda job: (e.steps.urgency(job), job.id),
-        ):
+        )
+        for job in queued + Forecast(e).upcoming():
             limits = e.teams.get(job.spec.team)
             if limits is None or not any(
                 placement.type_fits(job.spec, kind) for kind in e.types.values()
--- /dev/null
+++ b/appledock/core/forecast.py
@@ -0,0 +1,84 @@
+"""Jobs that will be ready to start about when a machine rented now has booted.
+
+The stage of a pipeline that follows a small one may need a hundred machines. Rented only
+when the stage is ready, they all come up a boot time later. So the stage counts as demand
+for machines as soon as the jobs that it needs are, by their estimates, about to end.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement
+from appledock.core.jobs import Attempt, Job
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class Forecast:
+    """Estimates when waiting jobs become ready."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def upcoming(self) -> list[Job]:
+        """Waiting jobs worth machines now, the most urgent first."""
+        replica = self.engine.replica
+        jobs = [
+            replica.jobs[job_id]
+            for job_id in replica.needs.waiting - replica.needs.doomed
+            if job_id in replica.jobs and job_id not in replica.cancelled
+        ]
+        found = [job for job in jobs if self._worthwhile(job) and self._due(job)]
+        return sorted(found, key=lambda job: (self.engine.steps.urgency(job), job.id))
+
+    def _worthwhile(self, job: Job) -> bool:
+        """Does anybody gain if the job starts a boot time sooner? A machine that waits
+        costs money, so there must be a deadline behind the job or an objective for its
+        wait. It must also be possible still to meet that deadline."""
+        _, end = self.engine.replica.needs.pressing(job)
+        waits = self.engine.aims.limits_wait(job.spec)
+        has_deadline = end < job.submitted + c.NO_DEADLINE_S
+        return waits or (has_deadline and self.engine.wall < end)
+
+    def _due(self, job: Job) -> bool:
+        boots = [
+            kind.boot_s
+            for kind in self.engine.types.values()
+            if placement.type_fits(job.spec, kind)
+        ]
+        return bool(boots) and self.ready_in(job) <= min(boots) * c.AHEAD_SHARE
+
+    def ready_in(self, job: Job) -> float:
+        """s until all jobs that it needs are done; infinite if that cannot be told, or if
+        one of them waits itself."""
+        return max(map(self._over_in, self.engine.replica.needs.left(job.id)), default=0.0)
+
+    def _over_in(self, job_id: str) -> float:
+        """s until an open job is over, by its owner's estimate."""
+        job = self.engine.replica.jobs.get(job_id)
+        if job is None or job.spec.service or job_id in self.engine.replica.needs.waiting:
+            return math.inf
+        left = job.spec.estimate_s if job.queued > 0 else 0.0
+        for attempt in job.attempts:
+            for task in attempt.tasks:
+                left = max(left, self._task_left(job, attempt, task))
+        return left
+
+    def _task_left(self, job: Job, attempt: Attempt, task: int) -> float:
+        worker = self.engine.workers.table.get(attempt.machine)
+        key = (f"{job.id}/{task}", attempt.number)
+        if worker is None:
+            return job.spec.estimate_s
+        entry = worker.tasks.get(key)
+        if entry is not None and entry.state == wire.EXITED:
+            return 0.0
+        since = worker.since.get(key)
+        if since is None:
+            return job.spec.estimate_s
+        # Past its estimate a task may take as long again as it is late.
+        return abs(job.spec.estimate_s - (self.engine.now - since))
--- /dev/null
+++ b/tests/test_forecast.py
@@ -0,0 +1,66 @@
+"""Machines for the next stage of a pipeline are ready when the stage is."""
+
+from __future__ import annotations
+
+import pytest
+
+from appledock.core.forecast import Forecast
+from tests.standins import chains
+from tests.standins.world import World
+
+Patch = pytest.MonkeyPatch
+STAGES: chains.Stages = [("first", []), ("wide", [0]), ("last", [1])]
+RUN_S = 12.0
+
+
+def wide_stage(seed: int, deadline_s: float | None = 90.0) -> tuple[float, int]:
+    """How long the wide stage waits for its first start once it is ready, and the machines
+    rented by the time its need ended."""
+    world = World(seed, capacity=30)
+    original = chains.spec
+
+    def spec(world: World, job: str, job_class: str, needs: list[str], last: bool):  # type: ignore[no-untyped-def]
+        body = original(world, job, job_class, needs, last)
+        body.update(crates=20 if job_class == "wide" else 1, owner="red", run_s=RUN_S, eta_s=RUN_S)
+        body["sail_s"] = deadline_s if last else None
+        return body
+
+    patch = pytest.MonkeyPatch()
+    patch.setattr(chains, "spec", spec)
+    with patch.context():
+        first, wide, _ = chains.pipeline(world, 1, stages=STAGES)
+        at: dict[str, float] = {}
+        up = [0]
+
+        def ended(job: str) -> None:
+            at.setdefault(job, world.clock.now)
+            if job == first:
+                up[0] = len(world.cloud.machines)
+
+        world.judge.when_complete = ended
+        started = world.judge.started
+
+        def begins(task: str, row: dict[str, object]) -> None:
+            at.setdefault("start " + task.partition("/")[0], world.clock.now)
+            started(task, row)
+
+        patch.setattr(world.judge, "started", begins)
+        world.clock.run(90.0)
+    patch.undo()
+    assert world.judge.broken == []
+    return at["start " + wide] - at[first], up[0]
+
+
+def test_machines_are_rented_before_the_next_stage_is_ready(monkeypatch: Patch) -> None:
+    wait, up = wide_stage(3)
+    monkeypatch.setattr(Forecast, "upcoming", lambda self: [])
+    late_wait, few = wide_stage(3)
+    assert up >= few + 3
+    assert wait < late_wait - 2.0
+
+
+def test_nothing_is_rented_ahead_for_a_chain_without_deadline(monkeypatch: Patch) -> None:
+    _, up = wide_stage(3, None)
+    monkeypatch.setattr(Forecast, "upcoming", lambda self: [])
+    _, few = wide_stage(3, None)
+    assert up == few
