--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -111,10 +111,8 @@
         """s; how long it stands still between its next batch and the effects of that"""
         rng = random.Random(self.clock.rng.random())
         self.runs = self.code
-        self.engine: Engine = self.runs.engine.Engine(
-            self.runs.settings.parse(
-                settings_file(self.name, self.world.names, self.world.announced)
-            ),
+        self.engine: Engine = self.runs.controller(
+            settings_file(self.name, self.world.names, self.world.announced),
             f"{self.name}.{self.life}",
             rng,
         )
@@ -375,11 +373,8 @@
     # --- troubles ---------------------------------------------------------
     def view(self) -> View | None:
         """The newest view that any controller knows."""
-        views = [
-            node.engine.replica.view
-            for node in self.nodes.values()
-            if node.up and node.engine.replica.view is not None
-        ]
+        known = [node.runs.view(node.engine) for node in self.nodes.values() if node.up]
+        views = [view for view in known if view is not None]
         return max(views, key=lambda view: view.term, default=None)
 
     def leader(self) -> str:
@@ -456,11 +451,12 @@
             return "session"
         return "token" if report["warrant"] < worker.token else "none"
 
-    def upgrade(self, every_s: float, away_s: float = 5.0) -> None:
-        """All controllers are restarted with the present version, one after the other."""
+    def upgrade(self, every_s: float, away_s: float = 5.0, code: Code | None = None) -> None:
+        """All controllers are restarted with the present version (or with the one of
+        `code`), one after the other."""
 
         def one(node: Node) -> None:
-            node.code = present()
+            node.code = code or present()
             node.crash(away_s)
 
         for place, node in enumerate(self.nodes.values()):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 from appledock.core.replica import FORMAT, JOBS, MEMBERS, VIEW, Replica, View
 from appledock.settings import SettingsError, parse
 from tests.standins.chains import pipeline
-from tests.standins.versions import present, production
+from tests.standins.versions import present, production, served
 from tests.standins.world import NEXT, World, settings_file
 from tests.test_faults import strike
 from tests.test_grown import owner_of_nothing, report
@@ -189,11 +189,10 @@
         {"handoff": ("n1", "x.1")},
     ):
         record = json.loads(wire.encode(old_job(**changes).encode()))
-        ours = present().jobs.decode(record, 7)
-        assert json.loads(wire.encode(ours.encode(1))) == record
+        key = JOBS + record["spec"]["id"]
+        assert present().rewrite(key, record, 1) == record
         # And what we write in their format they read as we do.
-        theirs = production().jobs.decode(json.loads(wire.encode(ours.encode(1))), 7)
-        assert theirs.encode() == ours.encode(1)
+        assert production().rewrite(key, present().rewrite(key, record, 1)) == record
 
 
 def test_views_and_members_are_read_alike_and_owners_are_the_same() -> None:
@@ -214,17 +213,15 @@
 
 
 def test_unknown_messages_and_fields_of_peers_are_ignored_by_both() -> None:
-    for code in (production(), present()):
-        one = code.engine.Engine(
-            code.settings.parse(settings_file("n0", ["n0", "n1"])), "x", random.Random(1)
-        )
+    for code in (production(), served(), present()):
+        one = code.controller(settings_file("n0", ["n0", "n1"]), "x", random.Random(1))
         for message in (
             {"kind": "of a later version", "x": 1},
             {"kind": "pulse", "node": "n1", "served_s": 0.1, "new": [1]},
             {"kind": "pulse", "node": "n1", "served_s": 0.1},
         ):
             one.handle([code.events.PeerMessage(message)], 100.0, 0.0)
-        assert one.pulse.reached("n1")
+        assert code.hears(one, "n1")
 
 
 # --- limits ------------------------------------------------------------------
