Steps: a job stored larger than the fallen limit is placed

A job of which all tasks waited, stored under larger limits with many machine types, was never placed again after the limits fell: the step was checked against the size of a value before the types that the cloud does not offer were dropped, and counted as "record full" for ever; only writes of jobs with tasks under way made their records smaller. The step is now made smaller before it is checked.

--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -428,7 +428,7 @@
             new.handoff = (handoff, view.members[handoff])
         elif new.handoff and view.members.get(new.handoff[0]) != new.handoff[1]:
             new.handoff = None
-        if not self.e.fits(new):
+        if not self.e.fits(self.e.slim(new)):
             # The record holds only so many attempts at a time: the rest of the
             # tasks wait until some are settled, the job is never stuck.
             for room, _ in placed:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -281,6 +281,31 @@
     assert e.slim(Job(spec(hulls=["h4", "x"]), 0.0, 3)).spec.types == ["h4", "x"]
 
 
+def test_a_job_stored_larger_is_placed_once_the_limits_have_fallen() -> None:
+    """All its tasks wait, so nothing else writes its record and makes it smaller."""
+    e = owner_of_nothing()
+    e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
+    e.membership.incarnation = "x.1"
+    e.replica.put(MEMBERS + "n0", {"incarnation": "x.1", "lease": 1}, 1)
+    for number in range(9):
+        if e.replica.owner_of(f"vm-{number:06d}") == "n0":
+            e.workers.learn(report(f"vm-{number:06d}", 1))
+    name = next(f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0")
+    types = ["h4", *(f"type-{number:04d}" for number in range(220))]
+    e.replica.set_job(Job(spec(id=name, crates=2, owner="red", hulls=types), 0.0, 2))
+    e.value_bytes = 1740
+    for worker in e.workers.table.values():
+        worker.heard_at = worker.well_at = e.now
+    written = [
+        write.value
+        for call in calls(e.handle([], e.now + 0.2, e.wall), "txn")
+        for write in call.args[0].writes
+        if getattr(write, "key", "") == JOBS + name
+    ]
+    assert written and len(wire.encode(written[0])) <= 1740
+    assert written[0]["open"] and written[0]["spec"]["types"] == ["h4"]
+
+
 def test_a_limit_that_nobody_announced_lowers_the_bound_and_is_not_tried_for_ever() -> None:
     """400 and 429 are told apart: what is too large comes less and less often, what was too
     fast at its next turn."""
