--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -71,9 +71,9 @@
         """The newest view that it knows, or None."""
         return controller.replica.view
 
-    def put(self, controller: Any, key: str, value: Any, version: int) -> None:
-        """It learns of a record."""
-        controller.replica.put(key, value, version)
+    def format_in_use(self, controller: Any) -> int:
+        """The format of records that it takes for the one in use."""
+        return int(controller.replica.format[1])
 
     def hears(self, controller: Any, peer: str) -> bool:
         """Did the peer say lately that it is there?"""
