Requests: a job that is over before its creation is answered is not called pending

A dependent of a cancelled job is ended by its owner as soon as the watch shows it. If the answer to the creating transaction took longer than that, the submitter's controller had seen the record come and go, and answered 201 with `pending` for a job that was over. It now reads how the job ended and answers that.

Tests: chains 30 deep, 60 wide and of six diamonds whose root is cancelled in an outage through one controller while users ask the others, of which one lags; the same chains done in their order through an outage; dependents submitted through all controllers in the moment in which their need is done, cancelled or both; and the same answers from all controllers after all have started again. With the answers from a lagging picture let through, the deep chain shows it.

--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -244,6 +244,10 @@
                     spec.tasks,
                     spec.image,
                 )
+                if spec.id not in self.e.replica.jobs:
+                    # Over before this answer came: cancelled with a job that it needs.
+                    self._read(asked)
+                    return
                 self.answer(
                     asked.ask,
                     201,
--- a/tests/standins/chains.py
+++ b/tests/standins/chains.py
@@ -10,6 +10,12 @@
 Stages = list[tuple[str, list[int]]]
 """class of each job of a pipeline, and the places of those that it needs"""
 CHAIN: Stages = [("first", []), ("wide", [0]), ("wide", [0]), ("join", [1, 2]), ("last", [0, 3])]
+DEEP: Stages = [("first", []), *(("join", [stage]) for stage in range(29))]
+WIDE: Stages = [("first", []), *[("join", [0])] * 60, ("last", list(range(1, 61)))]
+DIAMONDS: Stages = [("first", [])]
+"""one behind the other: each opens into five jobs, which meet in the first of the next"""
+for opening in range(0, 36, 6):
+    DIAMONDS += [("join", [opening])] * 5 + [("join", list(range(opening + 1, opening + 6)))]
 
 
 def spec(world: World, job: str, job_class: str, needs: list[str], last: bool) -> dict[str, Any]:
@@ -75,3 +81,54 @@
     for place in range(len(stages)):
         submit(place)
     return names
+
+
+def submit_at(world: World, one: dict[str, Any], node: str) -> None:
+    """Submit a job through that controller; if it does not take it, through any."""
+    job = one["id"]
+    world.judge.jobs[job] = one
+    world.judge.submitted.setdefault(job, world.clock.now)
+    world._ask(
+        job,
+        "POST",
+        "/v2/runs",
+        world._body(one),
+        (200, 201),
+        lambda: world._poll(job),
+        node,
+    )
+
+
+def ask_at(world: World, job: str, node: str) -> None:
+    world._ask(job, "GET", f"/v2/runs/{job}", b"", (), None, node)
+
+
+def cancel_at(world: World, job: str, node: str) -> None:
+    """Cancel a job through that controller and no other, again and again until it does."""
+    world.judge.asked_cancel.add(job)
+
+    def again() -> None:
+        if job not in world.judge.final:
+            any_status = (0, 200, 429, 503, 504)
+            world._ask(job, "POST", f"/v2/runs/{job}/cancel", b"", any_status, None, node)
+            world.clock.after(0.5, again)
+
+    again()
+
+
+def note_taken_back(world: World) -> list[str]:
+    """Answers that a job waits or runs, to questions asked after anybody was told that it,
+    or one that it needs at any distance, is cancelled: stricter than the judge, which
+    gives a cascade the time of a cancellation."""
+    found: list[str] = []
+    answered = world.judge.answered
+
+    def noted(job: str, sent: float, status: int, state: str | None, poll: bool) -> None:
+        for need in {job} | world.judge.before(job) if state in ("pending", "running") else ():
+            ended, at = world.judge.final.get(need, ("", 0.0))
+            if ended == "withdrawn" and at < sent:
+                found.append(f"{world.clock.now:.2f} {job} is {state}, {need} was cancelled")
+        answered(job, sent, status, state, poll)
+
+    world.judge.answered = noted  # type: ignore[method-assign]
+    return found
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -12,7 +12,18 @@
 from appledock.core.jobs import Attempt, Job
 from appledock.core.replica import FINAL, FORMAT, JOBS, Replica
 from appledock.core.requests import Requests
-from tests.standins.chains import pipeline
+from tests.standins.chains import (
+    DEEP,
+    DIAMONDS,
+    WIDE,
+    Stages,
+    ask_at,
+    cancel_at,
+    note_taken_back,
+    pipeline,
+    submit_at,
+)
+from tests.standins.chains import spec as spec_of
 from tests.standins.world import CANCEL_S, World
 from tests.test_faults import strike
 from tests.test_requests import calls, engine, spec
@@ -150,6 +161,123 @@
     assert "went_back" in lagging().judge.kinds()
 
 
+# --- deep, wide and diamond chains ---------------------------------------------
+def cancelled_at_the_root(seed: int, stages: Stages) -> tuple[World, list[str], list[str]]:
+    """The root of a pipeline is cancelled through one controller in an outage, and users
+    ask the others about all jobs behind it from then on; one of them lags."""
+    world = World(seed)
+    taken_back = note_taken_back(world)
+    clock, (first, second, third) = world.clock, world.names
+    clock.run(8.0)
+    names = pipeline(world, 1, stages=stages)
+    world.judge.jobs[names[0]]["run_s"] = 300.0
+    while not all(name in world.judge.accepted for name in names):
+        clock.run(clock.now + 1.0)
+    world.state.outage(5.0)
+    world.state.silent[third] = clock.now + 9.0
+    clock.cut({third}, {first, second}, 9.0, False)
+    clock.after(0.5, lambda: cancel_at(world, names[0], first))
+    for step in range(48):
+        for name in clock.rng.sample(names[1:], 6):
+            node = (second, third)[step % 2]
+            clock.after(0.6 + step / 5, lambda name=name, node=node: ask_at(world, name, node))
+    clock.run(clock.now + 5.0 + CANCEL_S)
+    return world, names, taken_back
+
+
+@pytest.mark.parametrize(
+    "stages", [DEEP, WIDE, DIAMONDS], ids=["30 deep", "60 wide", "six diamonds"]
+)
+def test_a_root_cancelled_in_an_outage_cancels_the_whole_chain(stages: Stages) -> None:
+    world, names, taken_back = cancelled_at_the_root(1, stages)
+    assert world.judge.broken == [] and taken_back == []
+    assert {world.judge.final[name][0] for name in names} == {"withdrawn"}
+    assert same_for_ever(world)
+
+
+def same_for_ever(world: World) -> bool:
+    """All controllers say the same of all jobs, also after they have started again; the
+    judge sees an answer that differs from an earlier one."""
+    world.ask_all()
+    world.clock.run(world.clock.now + 3.0)
+    before = dict(world.judge.final)
+    for node in world.nodes.values():
+        node.crash(0.5 + world.clock.rng.random())
+    world.clock.run(world.clock.now + 8.0)
+    world.judge.heard.clear()
+    for _ in range(4):
+        world.ask_all()
+        world.clock.run(world.clock.now + 2.5)
+    return (
+        world.judge.broken == []
+        and world.judge.final == before
+        and set(world.judge.heard) == set(world.judge.accepted) == set(before)
+    )
+
+
+def test_answers_from_a_picture_that_lags_are_noticed_in_a_deep_chain(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        Requests, "_tell_current", lambda self, asked, revision: self._tell(asked, False)
+    )
+    assert cancelled_at_the_root(1, DEEP)[2] != []
+
+
+@pytest.mark.parametrize("stages", [DEEP, WIDE, DIAMONDS], ids=["deep", "wide", "diamonds"])
+def test_a_whole_chain_gets_done_in_its_order(stages: Stages) -> None:
+    world = World(2)
+    world.clock.run(8.0)
+    names = pipeline(world, 1, stages=stages)
+    for name in names:
+        if name in world.judge.jobs:
+            world.judge.jobs[name]["run_s"] = 1.0
+    world.clock.run(20.0)
+    world.state.outage(6.0)
+    while world.clock.now < 300 and not all(name in world.judge.final for name in names):
+        world.clock.run(world.clock.now + 2.0)
+    assert world.judge.broken == []
+    assert {world.judge.final[name][0] for name in names} == {"done"}
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+@pytest.mark.parametrize("end", ["cancelled", "done", "both at once"])
+def test_dependents_submitted_as_their_need_ends_share_its_end(end: str, seed: int) -> None:
+    """Through all controllers, from a little before to a little after: done or cancelled,
+    as their need, for ever, whoever was told what first."""
+    world = World(seed)
+    clock, rng = world.clock, world.clock.rng
+    taken_back = note_taken_back(world)
+    clock.run(8.0)
+    need = {**spec_of(world, "job-000500", "first", [], False), "crates": 1}
+    need["run_s"] = 300.0 if end == "cancelled" else 6.0
+    world.submit(need)
+    moment: list[float] = []
+
+    def now(_: str = "") -> None:
+        if moment:
+            return
+        moment.append(clock.now)
+        if end != "done":
+            clock.after(0.3 * rng.random(), lambda: cancel_at(world, need["id"], world.names[0]))
+        for number in range(12):
+            one = spec_of(world, f"job-00060{number:02d}", "join", [need["id"]], True)
+            if number % 3 == 2:  # behind another one that comes at the same time
+                one["tethers"] = [f"job-00060{number - 1:02d}"]
+            node = world.names[number % 3]
+            clock.after(0.6 * rng.random(), lambda one=one, node=node: submit_at(world, one, node))
+
+    world.judge.when_complete = now
+    if end == "cancelled":
+        clock.at(16.0, now)
+    clock.run(75.0)
+    assert moment and world.judge.broken == [] and taken_back == []
+    ends = {world.judge.final[job][0] for job in world.judge.accepted}
+    assert len(world.judge.accepted) == 13 and len(ends) == 1
+    assert end == "both at once" or ends == {{"cancelled": "withdrawn", "done": "done"}[end]}
+    assert same_for_ever(world)
+
+
 def test_a_cancelled_job_cancels_all_behind_it_at_any_distance_and_width() -> None:
     world = World(5)
     world.clock.run(8.0)
@@ -236,6 +364,25 @@
     assert [reply.status for reply in replies(effects)] == [422]
 
 
+def test_a_job_that_was_over_before_its_creation_was_answered_is_not_called_pending() -> None:
+    """Its owner saw it in the watch and ended it with its need; so did this controller."""
+    e = ready_engine()
+    e.replica.add_final("job-7", wire.CANCELLED)
+    (create,) = calls(e.handle([ev.Submit(1, spec(tethers=["job-7"]))], 100.0, 0.0), "txn")
+    (write,) = create.args[0].writes
+    e.replica.put(write.key, write.value, 5)
+    e.replica.drop(write.key, 6)
+    effects = e.handle([ev.StoreReply(create.tag, "ok", wire.Committed(5))], 100.2, 0.0)
+    assert replies(effects) == []
+    (read,) = calls(effects, "get")
+    effects = e.handle([ev.StoreReply(read.tag, "missing", wire.Missing(7))], 100.2, 0.0)
+    (read,) = calls(effects, "get")
+    assert read.args == (FINAL + "job-000001",)
+    row = wire.Row(read.args[0], {"state": wire.CANCELLED}, 6)
+    (reply,) = replies(e.handle([ev.StoreReply(read.tag, "ok", row)], 100.3, 0.0))
+    assert (reply.status, reply.body.state) == (200, wire.CANCELLED)
+
+
 @pytest.mark.parametrize("outcome", ["refused", "unknown"])
 def test_needs_that_cannot_be_read_give_503_and_a_time_to_come_back(outcome: str) -> None:
     e = ready_engine()
