--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,7 +16,7 @@
 from appledock.core.replica import FORMAT, JOBS, MEMBERS, VIEW, Replica, View
 from appledock.settings import SettingsError, parse
 from tests.standins.chains import pipeline
-from tests.standins.versions import present, production
+from tests.standins.versions import present, production, served
 from tests.standins.world import NEXT, World, settings_file
 from tests.test_faults import strike
 from tests.test_grown import owner_of_nothing, report
@@ -189,11 +189,10 @@
         {"handoff": ("n1", "x.1")},
     ):
         record = json.loads(wire.encode(old_job(**changes).encode()))
-        ours = present().jobs.decode(record, 7)
-        assert json.loads(wire.encode(ours.encode(1))) == record
+        key = JOBS + record["spec"]["id"]
+        assert present().rewrite(key, record, 1) == record
         # And what we write in their format they read as we do.
-        theirs = production().jobs.decode(json.loads(wire.encode(ours.encode(1))), 7)
-        assert theirs.encode() == ours.encode(1)
+        assert production().rewrite(key, present().rewrite(key, record, 1)) == record
 
 
 def test_views_and_members_are_read_alike_and_owners_are_the_same() -> None:
@@ -214,17 +213,15 @@
 
 
 def test_unknown_messages_and_fields_of_peers_are_ignored_by_both() -> None:
-    for code in (production(), present()):
-        one = code.engine.Engine(
-            code.settings.parse(settings_file("n0", ["n0", "n1"])), "x", random.Random(1)
-        )
+    for code in (production(), served(), present()):
+        one = code.controller(settings_file("n0", ["n0", "n1"]), "x", random.Random(1))
         for message in (
             {"kind": "of a later version", "x": 1},
             {"kind": "pulse", "node": "n1", "served_s": 0.1, "new": [1]},
             {"kind": "pulse", "node": "n1", "served_s": 0.1},
         ):
             one.handle([code.events.PeerMessage(message)], 100.0, 0.0)
-        assert one.pulse.reached("n1")
+        assert code.hears(one, "n1")
 
 
 # --- limits ------------------------------------------------------------------
@@ -284,6 +281,31 @@
     assert e.slim(Job(spec(hulls=["h4", "x"]), 0.0, 3)).spec.types == ["h4", "x"]
 
 
+def test_a_job_stored_larger_is_placed_once_the_limits_have_fallen() -> None:
+    """All its tasks wait, so nothing else writes its record and makes it smaller."""
+    e = owner_of_nothing()
+    e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
+    e.membership.incarnation = "x.1"
+    e.replica.put(MEMBERS + "n0", {"incarnation": "x.1", "lease": 1}, 1)
+    for number in range(9):
+        if e.replica.owner_of(f"vm-{number:06d}") == "n0":
+            e.workers.learn(report(f"vm-{number:06d}", 1))
+    name = next(f"job-{i:06d}" for i in range(99) if e.replica.owner_of(f"job-{i:06d}") == "n0")
+    types = ["h4", *(f"type-{number:04d}" for number in range(220))]
+    e.replica.set_job(Job(spec(id=name, crates=2, owner="red", hulls=types), 0.0, 2))
+    e.value_bytes = 1740
+    for worker in e.workers.table.values():
+        worker.heard_at = worker.well_at = e.now
+    written = [
+        write.value
+        for call in calls(e.handle([], e.now + 0.2, e.wall), "txn")
+        for write in call.args[0].writes
+        if getattr(write, "key", "") == JOBS + name
+    ]
+    assert written and len(wire.encode(written[0])) <= 1740
+    assert written[0]["open"] and written[0]["spec"]["types"] == ["h4"]
+
+
 def test_a_limit_that_nobody_announced_lowers_the_bound_and_is_not_tried_for_ever() -> None:
     """400 and 429 are told apart: what is too large comes less and less often, what was too
     fast at its next turn."""
