Split core/fleet by job into a package of small modules

The parts now are catalogue, machine list and rentals, offers, demand, planning, rental requests, headroom, silence, cordons, returns, the log summary, and a manager that the rest of the core sees. Kinds of machines, booting machines, demand and the headroom have types in place of bare tuples.

What is private and tests look at has moved; the tests only follow (`fleet.returns.returning`, `fleet.machines.listed`, `Planner.by_zone`, `Returns.delete` and the like).

Seen and left as it is: the catalogue was compared with what is stored by a key that stored rows do not have, so that the leader has always stored it at each reading; the dead comparison is gone, the writing stays.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -227,22 +227,39 @@
 # --- Fleet ----------------------------------------------------------------
 LIST_EVERY_S = 2.0
 """s; how often the leader reads the machine list."""
+MACHINE_LIST_LIMIT = 500
+"""machines; the protocol's limit for one page of the list."""
 TYPES_EVERY_S = 30.0
 """s; how often machine types and prices are read again."""
+TYPES_RETRY_S = 1.0
+"""s; least pause before they are read again after the cloud did not answer."""
+CATALOGUE_RETRY_S = 5.0
+"""s; and after they could not be kept in the state service."""
+CLOUD_PAUSE_S = 0.5
+"""s; least pause of all calls to the cloud after it refused or failed one."""
 CLOUD_TIMEOUT_S = 4.0
 """s; a call to the cloud without an answer has an unknown outcome."""
 FLEET_EVERY_S = 0.5
 """s; pause between two fleet decisions."""
 TELL_EVERY_S = 20.0
 """s; how often the leader logs what its machines do."""
+RENT_TRIES = 4
+"""calls; a rental whose outcome stays unknown is given up after so many: the machine list
+will show what came of it."""
+RENT_FAILURES = 3
+"""failed attempts; a job that fails everywhere is not worth machines."""
 RENT_MAX = 50
 DELETE_MAX = 100
 """machines; the protocol's limits for one request."""
+DEMAND_TASKS_MAX = 4 * RENT_MAX
+"""tasks; no more of one job count for one fleet decision."""
 NO_CAPACITY_S = 6.0
 """s; a type refused by the cloud is not asked for again before."""
 IDLE_RETURN_S = 6.0
 """s; an idle machine beyond the headroom is kept this long, once its least charge is
 used up. At hundreds of machines, those idle for less than ten seconds were a tenth."""
+IDLE_HEARD_S = 5.0
+"""s; a machine not heard of this lately is not returned as idle."""
 MIN_CHARGE_S = 60.0
 """s; every machine costs at least this, so returning it sooner saves nothing."""
 SOON_SHARE = 0.8
@@ -250,6 +267,8 @@
 estimates, for their room to stand in for a new machine. Estimates are often wrong."""
 BOOT_LATE = 3.0
 """ratio of boot time after which a machine is replaced and deleted."""
+BOOT_UNKNOWN_S = 30.0
+"""s; boot time of a machine whose type the cloud no longer offers."""
 BOOT_LATE_MIN_S = 20.0
 """s; no machine counts as late before."""
 LEADER_PAUSE_S = 1.0
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -135,7 +135,7 @@
                 self._peer(cmd.message)
             case ev.PeerOpened():
                 self.workers.greet(cmd.name)
-                self.fleet.greet(cmd.name)
+                self.fleet.on_peer_connected(cmd.name)
                 self.cancels.greet(cmd.name)
             case ev.Admin():
                 self.admin.request(cmd)
@@ -426,8 +426,7 @@
         worker = self.workers.table.get(machine)
         if worker is not None and worker.report is not None:
             return worker.report.zone
-        listed = self.fleet.listed.get(machine)
-        return listed.zone if listed is not None else None
+        return self.fleet.zone_of(machine)
 
     def placeable(self, worker: Worker) -> bool:
         """May steps be placed on the worker's machine?"""
--- /dev/null
+++ b/appledock/core/fleet/catalogue.py
@@ -0,0 +1,87 @@
+"""The machine types: read from the cloud, kept in the state service."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core.budget import Priority
+from appledock.core.events import CloudReply, Put, StoreReply, TxnPlan
+from appledock.core.fleet.cloud import CloudCalls
+from appledock.core.replica import CATALOGUE
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+
+class Catalogue:
+    """Keeps `engine.types` up to date."""
+
+    def __init__(self, engine: Engine, cloud: CloudCalls) -> None:
+        self.engine = engine
+        self.cloud = cloud
+        self.next_read = 0.0
+        self.reading = False
+        self.read_version = -1
+
+    def load_stored(self) -> None:
+        """Types last seen by any controller, so that an outage of the cloud
+        does not keep a restarted controller from deciding."""
+        version, rows = self.engine.replica.catalogue
+        if version == self.read_version:
+            return
+        self.read_version = version
+        try:
+            types = [msgspec.convert(row, wire.MachineType) for row in rows]
+        except msgspec.ValidationError as error:
+            log.error("malformed catalogue: %s", error)
+            return
+        for machine_type in types:
+            self.engine.types.setdefault(machine_type.name, machine_type)
+        self.engine.rooms.touch_all()
+
+    def refresh(self) -> None:
+        """Read the types from the cloud if it is time to."""
+        if self.engine.now >= self.next_read and not self.reading:
+            self.reading = True
+            self.cloud.call("types", (), self._on_types)
+
+    def _on_types(self, reply: CloudReply) -> None:
+        engine = self.engine
+        self.reading = False
+        self.next_read = engine.now + c.TYPES_EVERY_S
+        if reply.outcome != "ok":
+            self.next_read = engine.now + c.TYPES_RETRY_S + engine.rng.random()
+            self.cloud.back_off()
+            return
+        engine.types = {machine_type.name: machine_type for machine_type in reply.data.types}
+        engine.rooms.touch_all()
+        engine.queue_dirty = True
+        if engine.membership.leader():
+            self._store()
+
+    def _store(self) -> None:
+        engine = self.engine
+        version = engine.replica.catalogue[0]
+        value = {"types": [msgspec.to_builtins(kind) for kind in engine.types.values()]}
+        if len(wire.encode(value)) > engine.value_bytes:
+            return
+
+        def done(reply: StoreReply) -> None:
+            if reply.outcome == "ok":
+                engine.replica.put(CATALOGUE, value, reply.data.revision)
+            else:
+                self.next_read = min(self.next_read, engine.now + c.CATALOGUE_RETRY_S)
+
+        engine.store(
+            "txn",
+            (TxnPlan({CATALOGUE: version}, [Put(CATALOGUE, value)]),),
+            Priority.PROGRESS,
+            done,
+        )
--- /dev/null
+++ b/appledock/core/fleet/cloud.py
@@ -0,0 +1,28 @@
+"""Calls to the cloud: all of them pause together after one was refused or failed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from appledock import constants as c
+from appledock.core.events import CloudCall, CloudReply
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class CloudCalls:
+    """Sends calls to the cloud and keeps the pause after trouble."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.paused_until = 0.0
+
+    def call(self, op: str, args: tuple[Any, ...], done: Callable[[CloudReply], None]) -> None:
+        """Emit a call; `done` gets its outcome."""
+        self.engine.call(lambda tag: CloudCall(tag, op, args, c.CLOUD_TIMEOUT_S), done)
+
+    def back_off(self) -> None:
+        """429 or outage: pause, with jitter against a herd."""
+        self.paused_until = self.engine.now + c.CLOUD_PAUSE_S + self.engine.rng.random()
--- /dev/null
+++ b/appledock/core/fleet/cordons.py
@@ -0,0 +1,101 @@
+"""Cordons: machines on which no step may be placed, and those to be emptied."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Container
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock.core.events import PeerSend
+from appledock.core.fleet.model import DRAIN, FAULTY, IDLE, OPERATOR
+from appledock.core.jobs import Attempt
+from appledock.core.workers import Worker
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+OPERATIONS = {"cordon": OPERATOR, "uncordon": "", "drain": DRAIN}
+"""what an operator asks for -> the reason of the cordon"""
+
+
+class Cordons:
+    """Sets, tells and ends cordons, and empties machines."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def set(self, name: str, why: str) -> None:
+        """Take over a cordon, or its end (no reason)."""
+        worker = self.engine.workers.table.get(name)
+        if worker is not None:
+            worker.cordoned, worker.cordoned_at = why, self.engine.now
+            self.engine.rooms.touch(name)
+            self.engine.queue_dirty = True
+
+    def announce(self, name: str, why: str, to: str | None = None) -> None:
+        """Tell one peer, or all."""
+        self.engine.emit(PeerSend({"kind": "cordon", "worker": name, "why": why}, to))
+
+    def set_everywhere(self, name: str, why: str) -> None:
+        """Cordon the machine here and at all peers."""
+        self.set(name, why)
+        self.announce(name, why)
+
+    def operate(self, name: str, action: str) -> None:
+        """Cordon, release or drain a machine, as an operator asked."""
+        self.set_everywhere(name, OPERATIONS[action])
+
+    def task_failed(self, machine: str, job: str) -> None:
+        """Machines on which different jobs fail are set aside and returned."""
+        worker = self.engine.workers.table.get(machine)
+        if worker is None:
+            return
+        worker.failed_jobs.add(job)
+        if len(worker.failed_jobs) >= c.ERRORS_OF_JOBS and not worker.cordoned:
+            log.warning("%s set aside: tasks of %s failed", machine, sorted(worker.failed_jobs))
+            self.set_everywhere(machine, FAULTY)
+
+    def announce_all(self, to: str, returning: Container[str]) -> None:
+        """What a peer whose link has just opened must know. Cordons of idle machines
+        are the leader's alone to tell: those that it is `returning`."""
+        for worker in self.engine.workers.table.values():
+            if worker.cordoned and (worker.cordoned != IDLE or worker.id in returning):
+                self.announce(worker.id, worker.cordoned, to)
+
+    def drain(self, returning: Container[str]) -> None:
+        """Machines an operator wants emptied: work of ours is stopped with its
+        grace and moves on; the leader returns the machine once it is empty. From
+        a machine about to be taken, only work goes that can save itself: the rest
+        would lose nothing by running on."""
+        for name, worker in self.engine.workers.table.items():
+            if self._lapsed(worker) and name not in returning:
+                # Guards against room lost for ever: a leader that ended or was replaced
+                # within that second, or a link that lost the word that it may be used.
+                self.set(name, "")
+            preempted = worker.report is not None and worker.report.notice_s is not None
+            if worker.cordoned == DRAIN:
+                self._stop_work(name, only_checkpointing=False)
+            elif preempted:
+                self._stop_work(name, only_checkpointing=True)
+
+    def _lapsed(self, worker: Worker) -> bool:
+        """Has the leader not repeated the cordon of an idle machine for too long?"""
+        return worker.cordoned == IDLE and self.engine.now - worker.cordoned_at > c.CORDON_LAPSE_S
+
+    def _stop_work(self, name: str, only_checkpointing: bool) -> None:
+        engine = self.engine
+        for job_id, attempts in engine.replica.by_machine.get(name, {}).items():
+            job = engine.replica.jobs[job_id]
+            if only_checkpointing and job.spec.checkpoint_s <= 0:
+                continue
+            tasks = _running_tasks(attempts)
+            if tasks and engine.owns_job(job):
+                engine.steps.stop(job_id, name, tasks)
+
+
+def _running_tasks(attempts: list[Attempt]) -> set[int]:
+    """Tasks of the attempts that nobody has told to stop."""
+    return {task for attempt in attempts if not attempt.stopping for task in attempt.tasks}
--- /dev/null
+++ b/appledock/core/fleet/demand.py
@@ -0,0 +1,91 @@
+"""What the queue asks for, and what running work gives back soon."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement, quota
+from appledock.core.fleet.model import Demand
+from appledock.core.jobs import Job
+from appledock.core.placement import Room
+from appledock.core.workers import Worker
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+def queued_demand(engine: Engine) -> list[Demand]:
+    """Queued tasks that their teams' limits admit, most urgent first."""
+    held: dict[str, quota.Amounts] = {}
+    result = []
+    for job in _most_urgent_first(engine):
+        limits = engine.teams.get(job.spec.team)
+        if limits is None or not any(
+            placement.type_fits(job.spec, machine_type) for machine_type in engine.types.values()
+        ):
+            continue
+        if job.failures >= c.RENT_FAILURES:
+            continue  # a job that fails everywhere is not worth machines
+        used = held.get(job.spec.team)
+        if used is None:
+            used = engine.quota.held_in_all(job.spec.team)
+        tasks = min(
+            job.queued,
+            c.DEMAND_TASKS_MAX,
+            (quota.limit(limits) - used).most(quota.NOTHING).count(job.spec),
+        )
+        if tasks:
+            held[job.spec.team] = used + quota.need(job.spec, tasks)
+            result.append(Demand(job, tasks))
+    return result
+
+
+def _most_urgent_first(engine: Engine) -> list[Job]:
+    return sorted(
+        (engine.replica.jobs[job_id] for job_id in engine.replica.queued),
+        key=lambda job: (engine.steps.urgency(job), job.id),
+    )
+
+
+def soon_free(engine: Engine) -> Iterator[Room]:
+    """What arrays at work give back while a machine would boot and fetch."""
+    for name, room in engine.rooms.table.items():
+        worker = engine.workers.table[name]
+        freed = Room("", room.type, room.zone, room.spot, 0, 0.0, 0.0, 0.0)
+        for job_id, attempts in engine.replica.by_machine.get(name, {}).items():
+            spec = engine.replica.jobs[job_id].spec
+            if spec.service or spec.estimate_s <= 0:
+                continue
+            horizon_s = boot_and_fetch_s(spec, room.type) * c.SOON_SHARE
+            for attempt in attempts:
+                for task in attempt.tasks:
+                    left_s = _expected_left_s(
+                        engine.now, spec, worker, (f"{job_id}/{task}", attempt.number)
+                    )
+                    if left_s is not None and left_s < horizon_s:
+                        freed.take(spec, -1)
+        if freed.cpus > 0 or freed.gpus > 0:
+            yield freed
+
+
+def _expected_left_s(
+    now: float, spec: wire.JobSpec, worker: Worker, key: tuple[str, int]
+) -> float | None:
+    """How long the task may still run, by its estimate; None: it does not run yet."""
+    since = worker.since.get(key)
+    if since is None:
+        return None
+    ran_s = now - since
+    left_s = spec.estimate_s - ran_s
+    # Longer than estimated: it may be as long again.
+    return left_s if left_s >= 0 else ran_s - spec.estimate_s
+
+
+def boot_and_fetch_s(spec: wire.JobSpec, machine_type: wire.MachineType) -> float:
+    """How long a new machine takes until it has the job's image."""
+    if machine_type.fetch_gb_per_s <= 0:
+        return machine_type.boot_s
+    return machine_type.boot_s + spec.image_gb / machine_type.fetch_gb_per_s
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -43,7 +43,7 @@
 
 def test_a_former_leader_keeps_no_cordon() -> None:
     e = follower()
-    e.fleet._cordon("vm-1", "idle")
+    e.fleet.returns.cordon("vm-1", "idle")
     live_on(e, c.CORDON_LAPSE_S + 3)
     assert e.placeable(e.workers.table["vm-1"])
 
@@ -58,9 +58,9 @@
 def test_while_the_cloud_is_in_trouble_the_leader_repeats_its_cordons() -> None:
     e = leading()
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
-    e.fleet.returning["vm-1"] = Returning(NOW - 10, "idle")
-    e.fleet._delete(["vm-1"])
+    e.fleet.returns.returning["vm-1"] = Returning(NOW - 10, "idle")
+    e.fleet.returns.delete(["vm-1"])
     said = [x.message for x in e.handle([], NOW, 0.0) if isinstance(x, ev.PeerSend)]
     assert IDLE in said
-    e.fleet._delete(["vm-1"])
+    e.fleet.returns.delete(["vm-1"])
     assert IDLE not in [x.message for x in e.handle([], NOW, 0.0) if isinstance(x, ev.PeerSend)]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,7 +15,8 @@
 from appledock.core import placement, preemption, quota
 from appledock.core.aims import Aims
 from appledock.core.budget import Bucket, Budget, Priority, Waiting
-from appledock.core.fleet import Fleet
+from appledock.core.fleet import MachineKind
+from appledock.core.fleet.model import BootingMachine
 from appledock.core.jobs import Attempt, Job, decode
 from appledock.core.placement import Room
 from appledock.core.replica import JOBS, TEAMS, Replica, View
@@ -335,9 +336,9 @@
 ) -> None:
     e = engine()
     e.types = {"h4": KIND, "h8": BIG}
-    fleet: Fleet = e.fleet
+    offers = e.fleet.offers
     job = spec(cores=cores, standby=spot, crates=tasks, memory_gb=1.0)
-    assert fleet._cheapest(job, tasks) == kind
+    assert offers.cheapest(job, tasks) == kind
     prices = {
         k: (t.spot_price if s else t.price) / min(tasks, int(t.cpus // cores))
         for t in (KIND, BIG)
@@ -347,8 +348,8 @@
         for k in [(t.name, z, s)]
     }
     assert prices[kind] == min(prices.values())
-    fleet.refused[kind] = e.now + 5
-    assert fleet._cheapest(job, tasks) != kind
+    offers.refused[MachineKind(*kind)] = e.now + 5
+    assert offers.cheapest(job, tasks) != kind
 
 
 def test_fresh_leader_keeps_machines_it_has_not_heard_of() -> None:
@@ -357,9 +358,10 @@
     e.fleet.led_since = e.now
     running = wire.Machine("vm-1", "h4", "a", "running", age_s=500.0)
     starting = wire.Machine("vm-2", "h4", "a", wire.BOOTING, age_s=500.0)
-    e.fleet.listed = {"vm-1": running, "vm-2": starting}
-    assert not e.fleet._stuck("vm-1", ("h4", "a", False), 500.0)
-    assert e.fleet._stuck("vm-2", ("h4", "a", False), 500.0)
+    e.fleet.machines.listed = {"vm-1": running, "vm-2": starting}
+    booting = BootingMachine(MachineKind("h4", "a", False), 500.0)
+    assert not e.fleet.machines.stuck("vm-1", booting, e.fleet.led_since)
+    assert e.fleet.machines.stuck("vm-2", booting, e.fleet.led_since)
 
 
 def test_stops_wait_while_the_victim_is_being_written() -> None:
@@ -385,7 +387,7 @@
         job.attempts.append(Attempt("vm-1", 1, 1, 1, False, {0}))
         e.replica.set_job(job)
     e.workers.learn(wire.Report("vm-1", "10.0.0.9:9", "h4", "a", 1, 1, 1, True, notice_s=9.0))
-    e.fleet._drain()
+    e.fleet.cordons.drain(())
     assert e.steps.stops == {"job-1": {"vm-1": {0}}}
 
 
@@ -399,12 +401,12 @@
         e.workers.learn(wire.Report(f"vm-{number}", "10.0.0.9:9", "h4", "a", 1, 1, 1))
     e.now += 100.0
     e.fleet._return(e.fleet._demand())
-    assert not e.fleet.returning
+    assert not e.fleet.returns.returning
     for number in range(1, 5):
         worker = e.workers.table[f"vm-{number}"]
         worker.heard_at = worker.well_at = worker.reached_at = e.now
     e.fleet._return(e.fleet._demand())
-    assert "vm-0" in e.fleet.returning and e.fleet.returning["vm-0"].why == "silent"
+    assert "vm-0" in e.fleet.returns.returning and e.fleet.returns.returning["vm-0"].why == "silent"
 
 
 def test_a_step_finds_the_few_machines_that_have_the_image() -> None:
@@ -461,7 +463,7 @@
         e.replica.set_job(Job(spec(cores=size), 0, 5))
         e.rooms.refresh()
         e.fleet._return(e.fleet._demand())
-        return set(e.fleet.returning)
+        return set(e.fleet.returns.returning)
 
     assert returned(4.0) == set()
     assert returned(4.5) == {"vm-1"}
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -265,7 +265,7 @@
             e.workers.table[name].idle_since = e.now - 50
         e.pulse.on_peer({"node": "n1", "served_s": 0.1})  # n2 is not heard
         e.fleet._return(e.fleet._demand())
-        return e, set(e.fleet.returning)
+        return e, set(e.fleet.returns.returning)
 
     e, gone = returned()
     assert gone == {name for name in names if e.replica.owner_of(name) != "n2"}
--- a/tests/test_old_words.py
+++ b/tests/test_old_words.py
@@ -17,7 +17,7 @@
     every trouble for its own and deleted no silent machine any more."""
     e = leading()
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
-    assert e.fleet._calm()
+    assert e.fleet.returns.silence.calm()
     e.workers.set_gone(["vm-1"])
     if direct:  # to the controller itself, or as the late answer to a question
         e.handle([ev.Reported(2, report(2))], NOW + 1, 0.0)
@@ -25,7 +25,7 @@
         e.workers.learn(report(2))
     assert "vm-1" not in e.workers.table
     e.handle([], NOW + 60, 0.0)
-    assert e.fleet._calm()
+    assert e.fleet.returns.silence.calm()
 
 
 def test_a_report_whose_number_alone_is_known_is_news() -> None:
@@ -71,8 +71,8 @@
     e = leading()
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
     e.fleet.led_since = NOW - 100
-    e.fleet.returning["vm-1"] = Returning(NOW - c.CORDON_S, why, True)
-    e.fleet.cloud_pause = NOW + 5  # the cloud is down; meanwhile the machine goes on
+    e.fleet.returns.returning["vm-1"] = Returning(NOW - c.CORDON_S, why, True)
+    e.fleet.cloud.paused_until = NOW + 5  # the cloud is down; meanwhile the machine goes on
     for seq in range(2, 6):
         e.handle([ev.Reported(seq, report(seq))], NOW + seq, 0.0)
     e.fleet._return([])
@@ -89,8 +89,9 @@
     e = leading()
     e.fleet.led_since = NOW - 1
     row = wire.Machine("vm-1", "h4", "a", wire.BOOTING, "10.0.0.9:1", False, 3.0)
-    e.fleet.listed, e.fleet.listed_at = {"vm-1": row}, NOW - 200
+    machines = e.fleet.machines
+    machines.listed, machines.listed_at = {"vm-1": row}, NOW - 200
     if steps:
         running(e, 3)
     e.fleet._return([])
-    assert ("vm-1" in e.fleet.returning) is not steps
+    assert ("vm-1" in e.fleet.returns.returning) is not steps
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -6,7 +6,7 @@
 
 from appledock import wire
 from appledock.core import placement
-from appledock.core.fleet import Fleet
+from appledock.core.fleet.planning import Planner
 from appledock.core.jobs import Job
 from appledock.core.placement import Room
 from tests.standins.world import World
@@ -68,7 +68,7 @@
     world = idle_machines(quays, **job)
     assert len(set(places(world))) == zones and len(places(world)) == job["crates"]
     assert world.judge.broken == []
-    monkeypatch.setattr(Fleet, "_by_zone", lambda self, job, tasks, supply: [(None, tasks)])
+    monkeypatch.setattr(Planner, "by_zone", lambda self, job, tasks, supply: [(None, tasks)])
     assert len(places(idle_machines(quays, **job))) < job["crates"]  # type: ignore[operator]
 
 
