Split core/workers by job into a package of small modules

The parts now are a worker's record, the table, reports, answers to reports, commands, orders, gossip between the controllers, leases and direct questions (liveness), members that workers do not reach (detachment), and evidence; a manager is what the rest of the core sees, with the names that it had: `Workers.verdict`, `commands`, `learn`, `get`, `table`, `gone`. Pairs and triples of numbers have types, bare numbers have names in constants.py.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -174,6 +174,8 @@
 SILENCE_EVERY_S = 0.5
 """s; how often machines are looked at for silence and lapsed leases: a pass over all of
 them, which at 900 machines should not come four times a second."""
+SAVE_SLACK_S = 1.0
+"""s; a task that can save itself has this much longer to end than saving takes."""
 SHOW_AFTER_S = 6.0
 """s; a worker not heard of this long is asked directly by a job's owner."""
 SHOW_TIMEOUT_S = 2.0
@@ -303,6 +305,12 @@
 """bytes; a longer netstring closes the link."""
 PEER_RETRY_S = 0.4
 """s; pause before a lost link is dialled again."""
+GONE_MAX = 20_000
+"""machines; remembered as deleted. Beyond, the older half is forgotten."""
+GONE_RESENT_MAX = 2000
+"""machines; the latest deletions, told to a peer whose link has just opened."""
+AGE_MAX_S = 1e6
+"""s; ages told to peers are cut off here."""
 PEER_RESEND_S = 5.0
 """s; unchanged worker pictures are sent again this often."""
 PEER_BUFFER_MAX = 2_000_000
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -134,7 +134,7 @@
             case ev.PeerMessage():
                 self._peer(cmd.message)
             case ev.PeerOpened():
-                self.workers.greet(cmd.name)
+                self.workers.on_peer_connected(cmd.name)
                 self.fleet.on_peer_connected(cmd.name)
                 self.cancels.greet(cmd.name)
             case ev.Admin():
--- /dev/null
+++ b/appledock/core/workers/gossip.py
@@ -0,0 +1,137 @@
+"""What the controllers tell each other about workers: each has a picture of all."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core.events import PeerSend
+from appledock.core.workers.record import ReportNumber, Worker
+from appledock.core.workers.table import WorkerTable
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class Gossip:
+    """Passes reports and proofs on, and takes in those of the peers."""
+
+    def __init__(self, engine: Engine, workers: WorkerTable) -> None:
+        self.engine = engine
+        self.workers = workers
+        self.unchanged: set[str] = set()
+        """workers whose reports came and showed nothing new: told to the peers soon"""
+        self.next_alive = 0.0
+        self.next_remind = 0.0
+
+    # --- sent -------------------------------------------------------------
+    def tick(self) -> None:
+        """Send what is due."""
+        now = self.engine.now
+        if now >= self.next_alive:
+            self.next_alive = now + c.ALIVE_EVERY_S
+            self._send_alive(sorted(self.unchanged))
+            self.unchanged.clear()
+        if now >= self.next_remind:
+            self.next_remind = now + c.PEER_RESEND_S
+            self._remind()
+
+    def pass_on(self, worker: Worker) -> None:
+        """Tell the peers of a report. Whole reports go when they show something new,
+        else that they came is enough."""
+        report = worker.report
+        if report is None:
+            return
+        changed = worker.id in self.engine.steps.changed_workers
+        if changed or self.engine.now - worker.passed_on >= c.PEER_RESEND_S:
+            worker.passed_on = self.engine.now
+            self._send_report(worker, report)
+        else:
+            self.unchanged.add(worker.id)
+
+    def announce_lapsed(self, machine: str, session: int, to: str | None = None) -> None:
+        """The session is proven to be over."""
+        self.engine.emit(PeerSend({"kind": "lapsed", "worker": machine, "session": session}, to))
+
+    def on_peer_connected(self, name: str) -> None:
+        """A link (re)opened: what the peer missed is sent again."""
+        for worker in self.workers.table.values():
+            if (
+                worker.report is not None
+                and self.engine.replica.view
+                and self.workers.owned(worker.id)
+            ):
+                self._send_report(worker, worker.report, name)
+            if worker.lapsed:
+                self.announce_lapsed(worker.id, worker.lapsed, name)
+        self._send_alive(list(self.workers.table), name)
+        if self.workers.gone:
+            self._send_gone(list(self.workers.gone)[-c.GONE_RESENT_MAX :], name)
+
+    def _send_report(self, worker: Worker, report: wire.Report, to: str | None = None) -> None:
+        message = {
+            "kind": "worker",
+            "report": report,
+            "well_s": self._age_s(worker.well_at),
+        }
+        self.engine.emit(PeerSend(message, to))
+
+    def _send_alive(self, names: Iterable[str], to: str | None = None) -> None:
+        """Workers whose reports came: number, and how long ago they came and were well."""
+        rows = [
+            [name, *worker.seen, self._age_s(worker.heard_at), self._age_s(worker.well_at)]
+            for name in names
+            if (worker := self.workers.table.get(name)) is not None
+        ]
+        if rows:
+            self.engine.emit(PeerSend({"kind": "alive", "workers": rows}, to))
+
+    def _send_gone(self, machines: list[str], to: str | None = None) -> None:
+        self.engine.emit(PeerSend({"kind": "gone", "machines": machines}, to))
+
+    def _age_s(self, at: float) -> float:
+        """How long ago that was: the controllers' clocks differ, ages do not."""
+        return round(min(self.engine.now - at, c.AGE_MAX_S), 3)
+
+    def _remind(self) -> None:
+        """Proofs of settlement are repeated while attempts wait for them: the
+        first message may have been lost with its link."""
+        waiting = self.engine.replica.by_machine
+        gone = [machine for machine in waiting if machine in self.workers.gone]
+        if gone:
+            self._send_gone(gone)
+        for machine in waiting:
+            worker = self.workers.table.get(machine)
+            if worker is not None and worker.lapsed:
+                self.announce_lapsed(machine, worker.lapsed)
+
+    # --- received ---------------------------------------------------------
+    def on_peer(self, message: dict[str, Any]) -> None:
+        """What a peer tells of workers."""
+        kind = message["kind"]
+        if kind == "worker":
+            report = msgspec.convert(message["report"], wire.Report)
+            if report.worker not in self.workers.gone:
+                self.engine.workers.learn(report, float(message.get("well_s", 0.0)))
+        elif kind == "alive":
+            self._on_alive([row for row in message["workers"] if row[0] not in self.workers.gone])
+        elif kind == "lapsed":
+            self.workers.set_lapsed(str(message["worker"]), int(message["session"]))
+        elif kind == "gone":
+            self.workers.set_gone([str(name) for name in message["machines"]])
+
+    def _on_alive(self, rows: list[Any]) -> None:
+        now = self.engine.now
+        for name, session, seq, heard_s, well_s in rows:
+            worker = self.workers.get(str(name))
+            # Copies of older reports are known for what they are from now on.
+            worker.seen = max(worker.seen, ReportNumber(int(session), int(seq)))
+            if worker.session == session:
+                worker.heard_at = max(worker.heard_at, now - float(heard_s))
+                worker.well_at = max(worker.well_at, now - float(well_s))
+                if worker.id not in self.engine.rooms.table:
+                    self.engine.rooms.touch(worker.id)
--- /dev/null
+++ b/appledock/core/workers/liveness.py
@@ -0,0 +1,123 @@
+"""Leases of workers: which sessions are surely over, and whom to ask directly."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock.core.events import WorkerCall, WorkerReply
+from appledock.core.workers.gossip import Gossip
+from appledock.core.workers.record import LONG_AGO, NOT_MISDIRECTED, Worker
+from appledock.core.workers.table import WorkerTable
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+    from appledock.core.replica import View
+
+log = logging.getLogger(__name__)
+
+
+class Liveness:
+    """Watches the workers' leases."""
+
+    def __init__(self, engine: Engine, workers: WorkerTable, gossip: Gossip) -> None:
+        self.engine = engine
+        self.workers = workers
+        self.gossip = gossip
+
+    # --- leases -----------------------------------------------------------
+    def check_all(self) -> None:
+        """Find the sessions that have lapsed, and ask workers that are quiet."""
+        lease_s = self.engine.settings.cluster.workers.lease_s
+        lease_s = lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
+        for machine in list(self.engine.replica.by_machine):
+            worker = self.workers.get(machine)
+            if machine not in self.workers.gone:
+                self._check_lease(worker, lease_s)
+                if self._worth_asking(worker):
+                    self.show(worker)
+
+    def _check_lease(self, worker: Worker, lease_s: float) -> None:
+        member = self.engine.membership
+        # A session heard of lives on for a lease even if nobody answers it.
+        ends_at = max(worker.bound, worker.heard_at) + lease_s
+        if self.engine.now < ends_at or not self.workers.owned(worker.id):
+            return
+        session = max(self._newest_recorded_session(worker.id), worker.session)
+        if session <= worker.lapsed:
+            return
+        # The view must be proven to have been ours until then: a
+        # newer owner may have renewed the lease.
+        if member.view_sent < ends_at:
+            member.confirm()
+            return
+        log.info("%s: session %d has lapsed", worker.id, session)
+        self.workers.set_lapsed(worker.id, session)
+        self.gossip.announce_lapsed(worker.id, session)
+
+    def _newest_recorded_session(self, machine: str) -> int:
+        attempts = self.engine.replica.by_machine[machine].values()
+        return max((attempt.session for row in attempts for attempt in row), default=0)
+
+    # --- direct questions -------------------------------------------------
+    def _worth_asking(self, worker: Worker) -> bool:
+        now = self.engine.now
+        return (
+            worker.report is not None
+            and now - worker.heard_at > c.SHOW_AFTER_S
+            and now >= worker.show_at
+            and not worker.calling
+            and self._session_open(worker)
+        )
+
+    def _session_open(self, worker: Worker) -> bool:
+        """Does a job of ours have an open attempt in the worker's session?"""
+        engine = self.engine
+        return any(
+            engine.owns_job(engine.replica.jobs[job_id])
+            and any(attempt.session > worker.lapsed for attempt in attempts)
+            for job_id, attempts in engine.replica.by_machine.get(worker.id, {}).items()
+        )
+
+    def show(self, worker: Worker) -> None:
+        """Ask the worker itself: the owner may be unable to pass reports on."""
+        assert worker.report is not None
+        worker.show_at = self.engine.now + c.SHOW_EVERY_S
+        worker.calling += 1
+        addr = worker.report.addr
+
+        def answered(reply: WorkerReply) -> None:
+            worker.calling -= 1
+            if reply.report is not None and reply.report.worker == worker.id:
+                worker.mute_at = LONG_AGO
+                if self.engine.workers.learn(reply.report):
+                    self.gossip.pass_on(worker)
+            else:
+                worker.mute_at = self.engine.now
+
+        self.engine.call(lambda tag: WorkerCall(tag, addr, None, c.SHOW_TIMEOUT_S), answered)
+
+    # --- views ------------------------------------------------------------
+    def on_view(self, old: View | None) -> None:
+        """Ownership may have moved: how long may the former owners still answer?
+
+        A former owner that is no longer in the view had no authority left when
+        the view was committed. One that is still a member may answer until it
+        learns of the view, at most one lease from now.
+        """
+        view, now = self.engine.replica.view, self.engine.now
+        assert view is not None
+        for name, worker in self.workers.table.items():
+            worker.launched.clear()
+            worker.misdirected = NOT_MISDIRECTED  # tries with another owner
+            self.workers.orders_due.add(name)
+            if old is None or view.term != old.term + 1:
+                # A view in between may have had any owner.
+                worker.bound = max(worker.bound, now + self.engine.grant_s)
+                continue
+            owner = old.owner_of(name)
+            if view.members.get(owner) != old.members[owner]:
+                worker.bound = max(worker.bound, now)
+            elif owner != self.engine.settings.name:
+                worker.bound = max(worker.bound, now + self.engine.grant_s)
--- /dev/null
+++ b/appledock/core/workers/orders.py
@@ -0,0 +1,104 @@
+"""Orders: commands sent straight to a worker, without waiting for its report."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core.events import WorkerCall, WorkerReply
+from appledock.core.workers.gossip import Gossip
+from appledock.core.workers.record import TaskKey, Worker
+from appledock.core.workers.table import WorkerTable
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+@dataclass(frozen=True, slots=True)
+class SentLaunches:
+    """The launches of one call, and what was known of them before it."""
+
+    at: float
+    term: int
+    keys: list[TaskKey]
+    launched: dict[TaskKey, float]
+    uncertain: dict[TaskKey, int]
+
+
+class Orders:
+    """Sends commands at once."""
+
+    def __init__(self, engine: Engine, workers: WorkerTable, gossip: Gossip) -> None:
+        self.engine = engine
+        self.workers = workers
+        self.gossip = gossip
+
+    def flush(self) -> None:
+        """Send to all workers that may need other commands than before."""
+        due, self.workers.orders_due = self.workers.orders_due, set()
+        if not self.engine.membership.acting():
+            return
+        for name in sorted(due):
+            worker = self.workers.table.get(name)
+            if worker is not None and self.workers.owned(name):
+                if worker.calling:
+                    self.workers.orders_due.add(name)
+                else:
+                    self._send(worker)
+
+    def _send(self, worker: Worker) -> None:
+        report = worker.report
+        if (
+            worker.calling
+            or report is None
+            or not self.engine.membership.acting()
+            or report.session <= worker.lapsed
+            or worker.id in self.workers.gone
+        ):
+            return
+        launched, uncertain = dict(worker.launched), dict(worker.uncertain)
+        commands = self.engine.workers.commands(worker, direct=True)
+        if not commands:
+            return
+        term = self.engine.membership.term
+        keys = [(x.task, x.attempt) for x in commands if x.op == wire.LAUNCH]
+        sent = SentLaunches(self.engine.now, term, keys, launched, uncertain)
+        worker.uncertain.update((key, term) for key in keys)
+        worker.calling += 1
+        addr, orders = report.addr, wire.Orders(term, report.session, commands)
+        self.engine.call(
+            lambda tag: WorkerCall(tag, addr, orders, c.ORDERS_TIMEOUT_S),
+            lambda reply: self._on_reply(worker, sent, reply),
+        )
+
+    def _on_reply(self, worker: Worker, sent: SentLaunches, reply: WorkerReply) -> None:
+        worker.calling -= 1
+        if reply.outcome == "unknown":
+            worker.launched.update((key, self.engine.now) for key in sent.keys)
+        else:
+            self._on_known_outcome(worker, sent, executed=reply.outcome == "ok")
+        if reply.report is None:
+            worker.mute_at = self.engine.now
+        elif reply.report.worker == worker.id and self.engine.workers.learn(reply.report):
+            self.gossip.pass_on(worker)
+
+    def _on_known_outcome(self, worker: Worker, sent: SentLaunches, executed: bool) -> None:
+        if executed:
+            worker.direct.update((key, sent.term) for key in sent.keys)
+        for key in sent.keys:
+            # What was not sent now says nothing of the same launch sent before:
+            # that one may still be on its way, or have been carried out.
+            if worker.uncertain.get(key) == sent.term and (executed or key not in sent.uncertain):
+                del worker.uncertain[key]
+            if not executed and worker.launched.get(key) == sent.at:
+                self._restore_launched(worker, sent, key)
+
+    @staticmethod
+    def _restore_launched(worker: Worker, sent: SentLaunches, key: TaskKey) -> None:
+        """The launch was not executed: as if it had not been sent."""
+        if key in sent.launched:
+            worker.launched[key] = sent.launched[key]
+        else:
+            del worker.launched[key]
--- /dev/null
+++ b/appledock/core/workers/reports.py
@@ -0,0 +1,118 @@
+"""Reports: taken in if they are newer than what is known."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core.jobs import split_task
+from appledock.core.workers.record import ReportNumber, TaskKey, Worker
+from appledock.core.workers.table import WorkerTable
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+
+class Reports:
+    """Keeps each worker's row up to date with its reports."""
+
+    def __init__(self, engine: Engine, workers: WorkerTable) -> None:
+        self.engine = engine
+        self.workers = workers
+
+    def learn(self, report: wire.Report, well_s: float | None = None) -> bool:
+        """Take the report in if it is newer than the one known. `well_s`: a peer
+        passed it on, and knows since when the worker was last well."""
+        if report.worker in self.workers.gone:
+            # Guards against copies of old reports: each brought a machine back that
+            # nothing removes from the table, and the leader, most of whose machines
+            # seemed silent then, never again deleted one that really was.
+            return False
+        worker = self.workers.get(report.worker)
+        old, before = worker.report, worker.tasks
+        number = ReportNumber(report.session, report.seq)
+        # A number may be known without its report: a link that lost the report brought
+        # word that later ones showed nothing new. Then the report itself is news.
+        if number < worker.seen or (old is not None and number <= (old.session, old.seq)):
+            return False
+        worker.seen = number
+        if old is None:
+            worker.first_term = self.engine.membership.term
+        self._note_times(worker, report, well_s)
+        worker.report = report
+        worker.tasks = {(task.task, task.attempt): task for task in report.tasks}
+        if old is None or old.session != report.session:
+            worker.begin_session(first=old is None)
+        worker.drop_void_launches(report.token, old is None or old.token != report.token)
+        self._note_tasks(worker)
+        if old is None or _differs(old, before, report, worker.tasks):
+            self.engine.steps.worker_changed(worker.id)
+            self.engine.rooms.touch(worker.id)
+            self.engine.queue_dirty = True
+        elif worker.id not in self.engine.rooms.table:
+            self.engine.rooms.touch(worker.id)
+        return True
+
+    def _note_times(self, worker: Worker, report: wire.Report, well_s: float | None) -> None:
+        """When the worker was heard, reached us and was well; `worker.report` is the
+        report before this one."""
+        now, old = self.engine.now, worker.report
+        if well_s is not None:
+            worker.well_at = max(worker.well_at, now - well_s)
+        else:
+            worker.reached_at = now
+            # A worker whose answers do not arrive still reports, but only after
+            # it has waited for each answer in vain.
+            if old is None or (
+                old.session == report.session and now - worker.heard_at < c.ANSWER_LOST_S
+            ):
+                worker.well_at = now
+        worker.heard_at = now
+
+    def _note_tasks(self, worker: Worker) -> None:
+        """Since when tasks run, which images they show as fetched, whether any is left."""
+        now, jobs = self.engine.now, self.engine.replica.jobs
+        since: dict[TaskKey, float] = {}
+        busy = False
+        for key, entry in worker.tasks.items():
+            running = entry.state == wire.RUNNING
+            if running:
+                started = worker.since.get(key)
+                if started is None:
+                    self._log_start(worker, entry)
+                    started = now
+                since[key] = started
+            busy = busy or entry.state != wire.EXITED
+            if running or entry.state == wire.SAVING or entry.why == wire.DONE:
+                job = jobs.get(split_task(entry.task)[0])
+                if job is not None:
+                    worker.images[job.spec.image] = now
+        worker.since = since
+        if busy:
+            worker.idle_since = 0.0
+        elif not worker.idle_since:
+            worker.idle_since = now
+
+    def _log_start(self, worker: Worker, entry: wire.TaskReport) -> None:
+        if self.engine.replica.view is not None and self.workers.owned(worker.id):
+            log.debug("%s started on %s", entry.task, worker.id)
+
+
+def _differs(
+    old: wire.Report,
+    before: dict[TaskKey, wire.TaskReport],
+    new: wire.Report,
+    tasks: dict[TaskKey, wire.TaskReport],
+) -> bool:
+    """Does the report show anything that decisions depend on?"""
+    return (
+        before.keys() != tasks.keys()
+        or old.session != new.session
+        or old.token != new.token
+        or old.notice_s != new.notice_s
+        or any(before[key].state != entry.state for key, entry in tasks.items())
+    )
--- /dev/null
+++ b/appledock/core/workers/table.py
@@ -0,0 +1,63 @@
+"""The table of workers, and the machines that no longer exist."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock.core.workers.record import Worker
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class WorkerTable:
+    """All workers known, by machine."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.table: dict[str, Worker] = {}
+        self.gone: dict[str, float] = {}
+        """machines whose deletion was confirmed, or that the cloud calls failed"""
+        self.start_bound = 0.0
+        """until then a controller that we do not know of yet may answer any worker"""
+        self.orders_due: set[str] = set()
+        """workers that may need other commands than before"""
+
+    def get(self, name: str) -> Worker:
+        """The worker's row, made if it is new."""
+        worker = self.table.get(name)
+        if worker is None:
+            # Another controller may have answered it under a view it still
+            # believes in; that ends within one lease from now.
+            worker = self.table[name] = Worker(
+                name, bound=max(self.start_bound, self.engine.now + self.engine.grant_s)
+            )
+        return worker
+
+    def owned(self, name: str) -> bool:
+        """Does this controller own the worker?"""
+        return self.engine.replica.owner_of(name) == self.engine.settings.name
+
+    def set_lapsed(self, machine: str, session: int) -> None:
+        """This session and all before it are over."""
+        worker = self.get(machine)
+        if session > worker.lapsed:
+            worker.lapsed = session
+            self.engine.steps.worker_changed(machine)
+            self.engine.rooms.touch(machine)
+            self.engine.queue_dirty = True
+
+    def set_gone(self, machines: Iterable[str]) -> None:
+        """These machines no longer exist."""
+        for machine in machines:
+            if machine not in self.gone:
+                self.gone[machine] = self.engine.now
+                self.table.pop(machine, None)
+                self.engine.rooms.touch(machine)
+                self.engine.steps.worker_changed(machine)
+        if len(self.gone) > c.GONE_MAX:
+            for machine in sorted(self.gone, key=self.gone.__getitem__)[: c.GONE_MAX // 2]:
+                if machine not in self.engine.replica.by_machine:
+                    del self.gone[machine]
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -146,7 +146,7 @@
     """It has no memory of its own; a late copy must not pass for the newest report."""
     e, fresh = owner_of_nothing(), owner_of_nothing()
     e.workers.learn(report("vm-1", 50))
-    e.workers.greet("n1")
+    e.workers.on_peer_connected("n1")
     for effect in e.effects:
         assert isinstance(effect, ev.PeerSend)
         fresh.handle([ev.PeerMessage(json.loads(wire.encode(effect.message)))], fresh.now, 0.0)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -65,7 +65,7 @@
 def test_silence_taken_for_settlement(monkeypatch: Patch) -> None:
     def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
         worker = self.table.get(attempt.machine)
-        if worker is not None and self.e.now - worker.heard_at > 3.0:
+        if worker is not None and self.engine.now - worker.heard_at > 3.0:
             return "settled"
         return VERDICT(self, job, attempt, task)
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -38,7 +38,7 @@
 def silence_settles(patch: Patch) -> None:
     def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
         worker = self.table.get(attempt.machine)
-        if worker is not None and self.e.now - worker.heard_at > 6.0:
+        if worker is not None and self.engine.now - worker.heard_at > 6.0:
             return "settled"
         return VERDICT(self, job, attempt, task)
 
