Typed messages between the controllers

One type for each kind in core/messages.py, a union told apart by "kind". Senders and receivers in workers, fleet, cancels, heartbeats, preemption and the engine use them; bare maps are gone.

Kinds and fields that are not known are ignored, missing ones mean what an earlier version did. A malformed message is now ignored as a whole with one warning; until now it raised in the engine, was logged with a traceback, and could be carried out in part.

--- a/appledock/core/cancels.py
+++ b/appledock/core/cancels.py
@@ -17,12 +17,13 @@
 
 import logging
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from appledock import constants as c
 from appledock import wire
 from appledock.core.events import CloudCall, CloudReply, PeerSend, WorkerCall, WorkerReply
 from appledock.core.jobs import Attempt, Job, split_task
+from appledock.core.messages import JobCancelled
 from appledock.core.replica import FINAL, JOBS
 
 if TYPE_CHECKING:
@@ -63,13 +64,8 @@
         """A cancellation was committed by us: the peers hear of it with the user."""
         self.e.emit(PeerSend(self._message(job_id, job, revision)))
 
-    def _message(self, job_id: str, job: Job | None, revision: int) -> dict[str, Any]:
-        return {
-            "kind": "cancelled",
-            "job": job_id,
-            "version": revision,
-            "record": self.e.record(job) if job is not None else None,
-        }
+    def _message(self, job_id: str, job: Job | None, revision: int) -> JobCancelled:
+        return JobCancelled(job_id, revision, self.e.record(job) if job is not None else None)
 
     def greet(self, name: str) -> None:
         """A link opened: the peer may have missed what was said."""
@@ -77,13 +73,12 @@
             job = self.e.replica.jobs[job_id]
             self.e.emit(PeerSend(self._message(job_id, job, job.version), name))
 
-    def on_peer(self, message: dict[str, Any]) -> None:
+    def on_peer(self, message: JobCancelled) -> None:
         """A committed record is true wherever it comes from; the newest version wins,
         as with a read ahead of the watch."""
-        job_id, version = str(message["job"]), int(message["version"])
-        record = message.get("record")
-        if record is not None:
-            self.e.replica.put(JOBS + job_id, record, version)
+        job_id, version = message.job, message.version
+        if message.record is not None:
+            self.e.replica.put(JOBS + job_id, message.record, version)
         else:
             self.e.replica.put(FINAL + job_id, {"state": wire.CANCELLED}, version)
             self.e.replica.drop(JOBS + job_id, version)
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -13,6 +13,7 @@
 from appledock import constants as c
 from appledock import wire
 from appledock.core import events as ev
+from appledock.core import messages
 from appledock.core.admin import AdminApi
 from appledock.core.aims import Aims
 from appledock.core.budget import Bucket, Budget, Priority, Waiting
@@ -142,22 +143,21 @@
             case ev.Tick():
                 self._tick()
 
-    def _peer(self, message: dict[str, Any]) -> None:
-        kind = message.get("kind")
-        if kind in ("worker", "alive", "lapsed", "gone"):
-            self.workers.on_peer(message)
-        elif kind == "stop":
-            self.steps.stop(
-                str(message["job"]),
-                str(message["machine"]),
-                {int(task) for task in message["tasks"]},
-            )
-        elif kind in ("rented", "cordon"):
-            self.fleet.on_peer(message)
-        elif kind == "cancelled":
-            self.cancels.on_peer(message)
-        elif kind == "pulse":
-            self.pulse.on_peer(message)
+    def _peer(self, body: Any) -> None:
+        message = messages.decode(body)
+        match message:
+            case None:
+                return
+            case messages.StopTasks():
+                self.steps.stop(message.job, message.machine, set(message.tasks))
+            case messages.MachinesRented() | messages.MachineCordoned():
+                self.fleet.on_peer(message)
+            case messages.JobCancelled():
+                self.cancels.on_peer(message)
+            case messages.Heartbeat():
+                self.pulse.on_peer(message)
+            case _:
+                self.workers.on_peer(message)
 
     def _tick(self) -> None:
         if not self.loaded and not self.loading and self.now >= self.next_load:
--- a/appledock/core/events.py
+++ b/appledock/core/events.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from appledock import wire
+from appledock.core.messages import Message
 
 # --- commands -------------------------------------------------------------
 
@@ -80,6 +81,8 @@
 
 @dataclass(slots=True)
 class PeerMessage:
+    """What a peer sent, as decoded JSON: it may be of another version."""
+
     message: dict[str, Any]
 
 
@@ -153,7 +156,7 @@
 class PeerSend:
     """To one peer, or to all."""
 
-    message: dict[str, Any]
+    message: Message
     to: str | None = None
 
 
--- a/appledock/core/fleet/cordons.py
+++ b/appledock/core/fleet/cordons.py
@@ -10,6 +10,7 @@
 from appledock.core.events import PeerSend
 from appledock.core.fleet.model import DRAIN, FAULTY, IDLE, OPERATOR
 from appledock.core.jobs import Attempt
+from appledock.core.messages import MachineCordoned
 from appledock.core.workers import Worker
 
 if TYPE_CHECKING:
@@ -37,7 +38,7 @@
 
     def announce(self, name: str, why: str, to: str | None = None) -> None:
         """Tell one peer, or all."""
-        self.engine.emit(PeerSend({"kind": "cordon", "worker": name, "why": why}, to))
+        self.engine.emit(PeerSend(MachineCordoned(name, why), to))
 
     def set_everywhere(self, name: str, why: str) -> None:
         """Cordon the machine here and at all peers."""
--- a/appledock/core/fleet/machines.py
+++ b/appledock/core/fleet/machines.py
@@ -10,6 +10,7 @@
 from appledock.core.events import CloudReply, PeerSend
 from appledock.core.fleet.cloud import CloudCalls
 from appledock.core.fleet.model import BootingMachine, MachineKind, RentedMachine
+from appledock.core.messages import MachinesGone
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -112,7 +113,7 @@
         self.engine.workers.set_gone(names)
         for name in names:
             self.rented_at.pop(name, None)
-        self.engine.emit(PeerSend({"kind": "gone", "machines": names}))
+        self.engine.emit(PeerSend(MachinesGone(names)))
         self.engine.queue_dirty = True
 
     # --- questions --------------------------------------------------------
--- a/appledock/core/fleet/manager.py
+++ b/appledock/core/fleet/manager.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Container
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from appledock import constants as c
 from appledock.core.fleet.catalogue import Catalogue
@@ -18,6 +18,7 @@
 from appledock.core.fleet.rental import Rental
 from appledock.core.fleet.returns import Returns
 from appledock.core.jobs import Job
+from appledock.core.messages import FleetMessage, MachineCordoned, MachinesRented
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -132,16 +133,13 @@
         self.cordons.operate(name, action)
 
     # --- from peers -------------------------------------------------------
-    def on_peer(self, message: dict[str, Any]) -> None:
+    def on_peer(self, message: FleetMessage) -> None:
         """What a peer tells of machines."""
-        if message["kind"] == "rented":
-            machine_type, zone, spot = message["type"]
-            self.machines.add_rented(
-                [str(name) for name in message["machines"]],
-                MachineKind(str(machine_type), str(zone), bool(spot)),
-            )
-        elif message["kind"] == "cordon":
-            self.cordons.set(str(message["worker"]), str(message["why"]))
+        match message:
+            case MachinesRented():
+                self.machines.add_rented(message.machines, MachineKind(*message.machine_kind))
+            case MachineCordoned():
+                self.cordons.set(message.worker, message.why)
 
     def on_peer_connected(self, name: str) -> None:
         """A link opened: the peer may lead soon and must know our rentals."""
--- a/appledock/core/fleet/rental.py
+++ b/appledock/core/fleet/rental.py
@@ -14,6 +14,7 @@
 from appledock.core.fleet.machines import Machines
 from appledock.core.fleet.model import MachineKind, RentRequest
 from appledock.core.fleet.offers import Offers
+from appledock.core.messages import MachinesRented
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -86,4 +87,4 @@
 
     def announce(self, names: list[str], kind: MachineKind, to: str | None = None) -> None:
         """Tell one peer, or all, what was rented: each may lead soon."""
-        self.engine.emit(PeerSend({"kind": "rented", "machines": names, "type": list(kind)}, to))
+        self.engine.emit(PeerSend(MachinesRented(names, kind), to))
--- /dev/null
+++ b/appledock/core/messages.py
@@ -0,0 +1,135 @@
+"""Messages between the controllers: one type for each kind.
+
+Kinds and field names are a contract between versions: names in Python may change, the
+words on the wire (`tag`, `name=`) never do. Kinds and fields that are not known are
+ignored, and fields that an earlier version does not send have defaults that mean its
+behaviour.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+import msgspec
+from msgspec import Struct, field
+
+from appledock import wire
+
+log = logging.getLogger(__name__)
+
+
+class WorkerReported(Struct, frozen=True, tag_field="kind", tag="worker"):
+    """A worker's report, and how long ago the worker was last well."""
+
+    report: wire.Report
+    well_s: float = 0.0
+
+
+class AliveWorker(Struct, frozen=True, array_like=True):
+    """The number of a worker's last report, how long ago it came, and how long ago the
+    worker was last well."""
+
+    worker: str
+    session: int
+    seq: int
+    heard_s: float
+    well_s: float
+
+
+class WorkersAlive(Struct, frozen=True, tag_field="kind", tag="alive"):
+    """Workers whose reports came and showed nothing new."""
+
+    workers: list[AliveWorker]
+
+
+class SessionLapsed(Struct, frozen=True, tag_field="kind", tag="lapsed"):
+    """The worker's session, and all before it, are proven to be over."""
+
+    worker: str
+    session: int
+
+
+class MachinesGone(Struct, frozen=True, tag_field="kind", tag="gone"):
+    """Machines that no longer exist."""
+
+    machines: list[str]
+
+
+class StopTasks(Struct, frozen=True, tag_field="kind", tag="stop"):
+    """To the owner of a job: stop these tasks of it on the machine."""
+
+    job: str
+    machine: str
+    tasks: list[int]
+
+
+class MachinesRented(Struct, frozen=True, tag_field="kind", tag="rented"):
+    """Machines just rented; `machine_kind` is type, zone and whether spot."""
+
+    machines: list[str]
+    machine_kind: tuple[str, str, bool] = field(name="type")
+
+
+class MachineCordoned(Struct, frozen=True, tag_field="kind", tag="cordon"):
+    """No step may be placed on the machine, for this reason; without one, steps may."""
+
+    worker: str
+    why: str
+
+
+class JobCancelled(Struct, frozen=True, tag_field="kind", tag="cancelled"):
+    """A committed cancellation: the job's open record, or None if that was the job's end."""
+
+    job: str
+    version: int
+    record: Any = None
+
+
+class Heartbeat(Struct, frozen=True, tag_field="kind", tag="pulse"):
+    """How a controller fares."""
+
+    node: str
+    served_s: float
+    """since the state service last answered it"""
+    writes: float = 0.0
+    """writes/s that it sends to the state service"""
+    reporting: float = 1.0
+    """part of its workers that reported to it lately"""
+    unanswered: dict[str, int] = field(name="vain", default={})
+    """owner -> workers that came to it after waiting for that owner in vain"""
+    pressed: bool = False
+    """do services of its wait for writes?"""
+
+
+WorkerMessage = WorkerReported | WorkersAlive | SessionLapsed | MachinesGone
+FleetMessage = MachinesRented | MachineCordoned
+Message = WorkerMessage | FleetMessage | StopTasks | JobCancelled | Heartbeat
+
+KINDS = frozenset(
+    str(kind.__struct_config__.tag)
+    for kind in (
+        WorkerReported,
+        WorkersAlive,
+        SessionLapsed,
+        MachinesGone,
+        StopTasks,
+        MachinesRented,
+        MachineCordoned,
+        JobCancelled,
+        Heartbeat,
+    )
+)
+
+
+def decode(body: Any) -> Message | None:
+    """The message in a decoded JSON value; None if it is of no use to this version."""
+    kind = body.get("kind") if isinstance(body, dict) else None
+    if not isinstance(kind, str) or kind not in KINDS:
+        return None  # of a later version
+    try:
+        message: Message = msgspec.convert(body, Message)
+    except msgspec.ValidationError as error:
+        log.warning("malformed message from a peer, kind %s: %s", kind, error)
+        return None
+    return message
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -17,6 +17,7 @@
 from appledock.core import placement, quota
 from appledock.core.events import PeerSend
 from appledock.core.jobs import Job
+from appledock.core.messages import StopTasks
 from appledock.core.placement import Room
 
 if TYPE_CHECKING:
@@ -262,14 +263,4 @@
         if owner == self.e.settings.name:
             self.e.steps.stop(victim.job.id, machine, {victim.task})
         else:
-            self.e.emit(
-                PeerSend(
-                    {
-                        "kind": "stop",
-                        "job": victim.job.id,
-                        "machine": machine,
-                        "tasks": [victim.task],
-                    },
-                    owner,
-                )
-            )
+            self.e.emit(PeerSend(StopTasks(victim.job.id, machine, [victim.task]), owner))
--- a/appledock/core/pulse.py
+++ b/appledock/core/pulse.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from appledock import constants as c
 from appledock.core.events import PeerSend
+from appledock.core.messages import Heartbeat
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -43,15 +44,14 @@
             since = self.e.now - self.e.membership.served_at
             self.e.emit(
                 PeerSend(
-                    {
-                        "kind": "pulse",
-                        "node": self.e.settings.name,
-                        "served_s": round(min(since, 1e6), 3),
-                        "writes": round(self.e.budget.spent, 2),
-                        "reporting": round(self.e.workers.reporting(), 3),
-                        "vain": self.e.workers.in_vain(),
-                        "pressed": self.e.steps.pressed(),
-                    }
+                    Heartbeat(
+                        node=self.e.settings.name,
+                        served_s=round(min(since, c.AGE_MAX_S), 3),
+                        writes=round(self.e.budget.spent, 2),
+                        reporting=round(self.e.workers.reporting(), 3),
+                        unanswered=self.e.workers.in_vain(),
+                        pressed=self.e.steps.pressed(),
+                    )
                 )
             )
             if self.heard:
@@ -60,14 +60,13 @@
                     self.e.settings.cluster.state.write_rps * c.BUDGET_SHARE,
                 )
 
-    def on_peer(self, message: dict[str, Any]) -> None:
-        self.heard[str(message["node"])] = (self.e.now, self.e.now - float(message["served_s"]))
-        self.writes[str(message["node"])] = float(message.get("writes", 0.0))
-        self.reporting[str(message["node"])] = float(message.get("reporting", 1.0))
-        self.pressed[str(message["node"])] = bool(message.get("pressed", False))
-        self.vain[str(message["node"])] = {
-            str(owner): int(count) for owner, count in message.get("vain", {}).items()
-        }
+    def on_peer(self, message: Heartbeat) -> None:
+        node = message.node
+        self.heard[node] = (self.e.now, self.e.now - message.served_s)
+        self.writes[node] = message.writes
+        self.reporting[node] = message.reporting
+        self.pressed[node] = message.pressed
+        self.vain[node] = message.unanswered
 
     def reached(self, node: str) -> bool:
         """Do messages of this controller arrive here?"""
--- a/appledock/core/workers/gossip.py
+++ b/appledock/core/workers/gossip.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
-
-import msgspec
+from typing import TYPE_CHECKING
 
 from appledock import constants as c
 from appledock import wire
 from appledock.core.events import PeerSend
+from appledock.core.messages import (
+    AliveWorker,
+    MachinesGone,
+    SessionLapsed,
+    WorkerMessage,
+    WorkerReported,
+    WorkersAlive,
+)
 from appledock.core.workers.record import ReportNumber, Worker
 from appledock.core.workers.table import WorkerTable
 
@@ -55,7 +61,7 @@
 
     def announce_lapsed(self, machine: str, session: int, to: str | None = None) -> None:
         """The session is proven to be over."""
-        self.engine.emit(PeerSend({"kind": "lapsed", "worker": machine, "session": session}, to))
+        self.engine.emit(PeerSend(SessionLapsed(machine, session), to))
 
     def on_peer_connected(self, name: str) -> None:
         """A link (re)opened: what the peer missed is sent again."""
@@ -73,25 +79,23 @@
             self._send_gone(list(self.workers.gone)[-c.GONE_RESENT_MAX :], name)
 
     def _send_report(self, worker: Worker, report: wire.Report, to: str | None = None) -> None:
-        message = {
-            "kind": "worker",
-            "report": report,
-            "well_s": self._age_s(worker.well_at),
-        }
+        message = WorkerReported(report, self._age_s(worker.well_at))
         self.engine.emit(PeerSend(message, to))
 
     def _send_alive(self, names: Iterable[str], to: str | None = None) -> None:
         """Workers whose reports came: number, and how long ago they came and were well."""
         rows = [
-            [name, *worker.seen, self._age_s(worker.heard_at), self._age_s(worker.well_at)]
+            AliveWorker(
+                name, *worker.seen, self._age_s(worker.heard_at), self._age_s(worker.well_at)
+            )
             for name in names
             if (worker := self.workers.table.get(name)) is not None
         ]
         if rows:
-            self.engine.emit(PeerSend({"kind": "alive", "workers": rows}, to))
+            self.engine.emit(PeerSend(WorkersAlive(rows), to))
 
     def _send_gone(self, machines: list[str], to: str | None = None) -> None:
-        self.engine.emit(PeerSend({"kind": "gone", "machines": machines}, to))
+        self.engine.emit(PeerSend(MachinesGone(machines), to))
 
     def _age_s(self, at: float) -> float:
         """How long ago that was: the controllers' clocks differ, ages do not."""
@@ -110,28 +114,29 @@
                 self.announce_lapsed(machine, worker.lapsed)
 
     # --- received ---------------------------------------------------------
-    def on_peer(self, message: dict[str, Any]) -> None:
+    def on_peer(self, message: WorkerMessage) -> None:
         """What a peer tells of workers."""
-        kind = message["kind"]
-        if kind == "worker":
-            report = msgspec.convert(message["report"], wire.Report)
-            if report.worker not in self.workers.gone:
-                self.engine.workers.learn(report, float(message.get("well_s", 0.0)))
-        elif kind == "alive":
-            self._on_alive([row for row in message["workers"] if row[0] not in self.workers.gone])
-        elif kind == "lapsed":
-            self.workers.set_lapsed(str(message["worker"]), int(message["session"]))
-        elif kind == "gone":
-            self.workers.set_gone([str(name) for name in message["machines"]])
-
-    def _on_alive(self, rows: list[Any]) -> None:
+        match message:
+            case WorkerReported():
+                if message.report.worker not in self.workers.gone:
+                    self.engine.workers.learn(message.report, message.well_s)
+            case WorkersAlive():
+                self._on_alive(message.workers)
+            case SessionLapsed():
+                self.workers.set_lapsed(message.worker, message.session)
+            case MachinesGone():
+                self.workers.set_gone(message.machines)
+
+    def _on_alive(self, rows: list[AliveWorker]) -> None:
         now = self.engine.now
-        for name, session, seq, heard_s, well_s in rows:
-            worker = self.workers.get(str(name))
+        for row in rows:
+            if row.worker in self.workers.gone:
+                continue
+            worker = self.workers.get(row.worker)
             # Copies of older reports are known for what they are from now on.
-            worker.seen = max(worker.seen, ReportNumber(int(session), int(seq)))
-            if worker.session == session:
-                worker.heard_at = max(worker.heard_at, now - float(heard_s))
-                worker.well_at = max(worker.well_at, now - float(well_s))
+            worker.seen = max(worker.seen, ReportNumber(row.session, row.seq))
+            if worker.session == row.session:
+                worker.heard_at = max(worker.heard_at, now - row.heard_s)
+                worker.well_at = max(worker.well_at, now - row.well_s)
                 if worker.id not in self.engine.rooms.table:
                     self.engine.rooms.touch(worker.id)
--- a/appledock/core/workers/manager.py
+++ b/appledock/core/workers/manager.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from appledock import constants as c
 from appledock import wire
 from appledock.core.jobs import Attempt, Job
+from appledock.core.messages import WorkerMessage
 from appledock.core.workers.answers import Answers
 from appledock.core.workers.commands import Commands
 from appledock.core.workers.detachment import Detachment
@@ -92,7 +93,7 @@
         self.liveness.on_view(old)
         self.detachment.on_view()
 
-    def on_peer(self, message: dict[str, Any]) -> None:
+    def on_peer(self, message: WorkerMessage) -> None:
         """What a peer tells of workers."""
         self.gossip.on_peer(message)
 
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import json
+from typing import Any
+
 from appledock import constants as c
+from appledock import wire
 from appledock.core import events as ev
 from appledock.core.engine import Engine
 from appledock.core.fleet import Returning
@@ -21,6 +25,12 @@
     return effects
 
 
+def said(e: Engine) -> list[Any]:
+    """What the peers are told now, as it comes to them."""
+    effects = e.handle([], NOW, 0.0)
+    return [json.loads(wire.encode(x.message)) for x in effects if isinstance(x, ev.PeerSend)]
+
+
 def follower() -> Engine:
     e = leading()
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
@@ -60,7 +70,6 @@
     e.handle([ev.Reported(1, report(1))], NOW, 0.0)
     e.fleet.returns.returning["vm-1"] = Returning(NOW - 10, "idle")
     e.fleet.returns.delete(["vm-1"])
-    said = [x.message for x in e.handle([], NOW, 0.0) if isinstance(x, ev.PeerSend)]
-    assert IDLE in said
+    assert IDLE in said(e)
     e.fleet.returns.delete(["vm-1"])
-    assert IDLE not in [x.message for x in e.handle([], NOW, 0.0) if isinstance(x, ev.PeerSend)]
+    assert IDLE not in said(e)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -18,6 +18,7 @@
 from appledock.core.fleet import MachineKind
 from appledock.core.fleet.model import BootingMachine
 from appledock.core.jobs import Attempt, Job, decode
+from appledock.core.messages import Heartbeat
 from appledock.core.placement import Room
 from appledock.core.replica import JOBS, TEAMS, Replica, View
 from appledock.settings import Objective
@@ -486,12 +487,11 @@
     """The state service's writes are shared: while one controller's services waited for
     them after a wave of lost machines, arrays of the others took two thirds."""
     e = engine()
-    pulse = {"node": "n1", "served_s": 0.1, "writes": 9.0, "reporting": 1.0, "vain": {}}
-    e.pulse.on_peer({**pulse, "pressed": True})
+    e.pulse.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=True))
     assert e.steps._hold_back()
     e.now += c.PULSE_LOST_S + 1
     assert not e.steps._hold_back()  # it may be over since: nobody is heard
-    e.pulse.on_peer({**pulse, "pressed": False})
+    e.pulse.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=False))
     assert not e.steps._hold_back()
 
 
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -15,6 +15,7 @@
 from appledock.core import events as ev
 from appledock.core.engine import Engine
 from appledock.core.jobs import Attempt, Job, decode
+from appledock.core.messages import Heartbeat
 from appledock.core.pulse import Pulse
 from appledock.core.replica import JOBS, VIEW
 from appledock.core.requests import Requests
@@ -263,7 +264,7 @@
         for name in names:
             e.workers.learn(report(name, 1))
             e.workers.table[name].idle_since = e.now - 50
-        e.pulse.on_peer({"node": "n1", "served_s": 0.1})  # n2 is not heard
+        e.pulse.on_peer(Heartbeat("n1", 0.1))  # n2 is not heard
         e.fleet._return(e.fleet._demand())
         return e, set(e.fleet.returns.returning)
 
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,104 @@
+"""Messages between the controllers: the words on the wire, and those that make no sense."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+import pytest
+
+from appledock import wire
+from appledock.core import events as ev
+from appledock.core import messages
+from tests.test_launches import NOW, leading, report
+
+SAID: list[tuple[messages.Message, dict[str, Any]]] = [
+    (
+        messages.WorkerReported(report(3), 0.5),
+        {"kind": "worker", "report": json.loads(wire.encode(report(3))), "well_s": 0.5},
+    ),
+    (
+        messages.WorkersAlive([messages.AliveWorker("vm-1", 1, 7, 0.1, 0.2)]),
+        {"kind": "alive", "workers": [["vm-1", 1, 7, 0.1, 0.2]]},
+    ),
+    (
+        messages.SessionLapsed("vm-1", 2),
+        {"kind": "lapsed", "worker": "vm-1", "session": 2},
+    ),
+    (messages.MachinesGone(["vm-1"]), {"kind": "gone", "machines": ["vm-1"]}),
+    (
+        messages.StopTasks("job-1", "vm-1", [0, 2]),
+        {"kind": "stop", "job": "job-1", "machine": "vm-1", "tasks": [0, 2]},
+    ),
+    (
+        messages.MachinesRented(["vm-1"], ("h4", "a", True)),
+        {"kind": "rented", "machines": ["vm-1"], "type": ["h4", "a", True]},
+    ),
+    (
+        messages.MachineCordoned("vm-1", "idle"),
+        {"kind": "cordon", "worker": "vm-1", "why": "idle"},
+    ),
+    (
+        messages.JobCancelled("job-1", 4),
+        {"kind": "cancelled", "job": "job-1", "version": 4, "record": None},
+    ),
+    (
+        messages.Heartbeat("n1", 0.1, 2.5, 0.9, {"n2": 3}, True),
+        {
+            "kind": "pulse",
+            "node": "n1",
+            "served_s": 0.1,
+            "writes": 2.5,
+            "reporting": 0.9,
+            "vain": {"n2": 3},
+            "pressed": True,
+        },
+    ),
+]
+
+
+def test_every_kind_keeps_its_words() -> None:
+    """They are a contract between versions."""
+    for message, body in SAID:
+        assert json.loads(wire.encode(message)) == body
+        assert messages.decode({**body, "of a later version": [1]}) == message
+    assert {body["kind"] for _, body in SAID} == messages.KINDS
+
+
+def test_what_an_earlier_version_does_not_say_means_its_behaviour() -> None:
+    heartbeat = messages.decode({"kind": "pulse", "node": "n1", "served_s": 0})
+    assert heartbeat == messages.Heartbeat("n1", 0.0, 0.0, 1.0, {}, False)
+    body = {"kind": "worker", "report": json.loads(wire.encode(report(3)))}
+    assert messages.decode(body) == messages.WorkerReported(report(3), 0.0)
+    body = {"kind": "cancelled", "job": "job-1", "version": 4}
+    assert messages.decode(body) == messages.JobCancelled("job-1", 4, None)
+
+
+@pytest.mark.parametrize("body", [None, [], "pulse", {}, {"kind": 1}, {"kind": ["gone"]}])
+def test_what_is_no_message_is_ignored(body: Any) -> None:
+    assert messages.decode(body) is None
+
+
+def test_malformed_messages_are_logged_and_change_nothing(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Each kind without one of its fields, or with nonsense in it; a good message in the
+    same batch still counts."""
+    optional = {"well_s", "record", "writes", "reporting", "vain", "pressed"}
+    for _, body in SAID:
+        for name in body.keys() - {"kind", "record"}:
+            bad = [{**body, name: {"x": [None]}}]
+            if name not in optional:
+                bad.append({key: value for key, value in body.items() if key != name})
+            for message in bad:
+                e = leading()
+                caplog.clear()
+                good = {"kind": "gone", "machines": ["vm-9"]}
+                batch: list[ev.Cmd] = [ev.PeerMessage(message), ev.PeerMessage(good)]
+                effects = e.handle(batch, NOW, 0.0)
+                assert [x.levelno for x in caplog.records] == [logging.WARNING], message
+                assert "malformed message" in caplog.text and body["kind"] in caplog.text
+                assert set(e.workers.gone) == {"vm-9"} and not e.workers.table
+                assert not e.fleet.machines.rentals and not e.pulse.heard
+                assert not any(isinstance(x, ev.Reply) for x in effects)
--- a/tests/test_old_words.py
+++ b/tests/test_old_words.py
@@ -8,6 +8,7 @@
 from appledock import wire
 from appledock.core import events as ev
 from appledock.core.fleet import Returning
+from appledock.core.messages import AliveWorker, WorkersAlive
 from tests.test_launches import NOW, leading, report, running
 
 
@@ -35,7 +36,7 @@
     task = wire.TaskReport("job-000001/0", 1, wire.RUNNING)
     over = wire.TaskReport("job-000001/0", 1, wire.EXITED, wire.DONE)
     e.workers.learn(report(5, tasks=[task]), 0.0)
-    e.workers.on_peer({"kind": "alive", "workers": [["vm-1", 1, 7, 0.1, 0.1]]})
+    e.workers.on_peer(WorkersAlive([AliveWorker("vm-1", 1, 7, 0.1, 0.1)]))
     assert not e.workers.learn(report(6, tasks=[task]), 0.0)
     assert e.workers.learn(report(7, tasks=[over]), 0.0)
     assert e.workers.table["vm-1"].tasks[("job-000001/0", 1)].state == wire.EXITED
