--- a/appledock/core/forecast.py
+++ b/appledock/core/forecast.py
@@ -80,5 +80,10 @@
         since = worker.since.get(key)
         if since is None:
             return job.spec.estimate_s
-        # Past its estimate a task may take as long again as it is late.
-        return abs(job.spec.estimate_s - (self.engine.now - since))
+        return left_by_estimate_s(job.spec, self.engine.now - since)
+
+
+def left_by_estimate_s(spec: wire.JobSpec, ran_s: float) -> float:
+    """How long a task that has run for `ran_s` may still run: past its estimate it may
+    take as long again as it is late."""
+    return abs(spec.estimate_s - ran_s)
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -15,6 +15,7 @@
 from appledock.core import events as ev
 from appledock.core.engine import Engine
 from appledock.core.jobs import Attempt, Job, decode
+from appledock.core.messages import Heartbeat
 from appledock.core.pulse import Pulse
 from appledock.core.replica import JOBS, VIEW
 from appledock.core.requests import Requests
@@ -146,7 +147,7 @@
     """It has no memory of its own; a late copy must not pass for the newest report."""
     e, fresh = owner_of_nothing(), owner_of_nothing()
     e.workers.learn(report("vm-1", 50))
-    e.workers.greet("n1")
+    e.workers.on_peer_connected("n1")
     for effect in e.effects:
         assert isinstance(effect, ev.PeerSend)
         fresh.handle([ev.PeerMessage(json.loads(wire.encode(effect.message)))], fresh.now, 0.0)
@@ -263,9 +264,9 @@
         for name in names:
             e.workers.learn(report(name, 1))
             e.workers.table[name].idle_since = e.now - 50
-        e.pulse.on_peer({"node": "n1", "served_s": 0.1})  # n2 is not heard
+        e.pulse.on_peer(Heartbeat("n1", 0.1))  # n2 is not heard
         e.fleet._return(e.fleet._demand())
-        return e, set(e.fleet.returning)
+        return e, set(e.fleet.returns.returning)
 
     e, gone = returned()
     assert gone == {name for name in names if e.replica.owner_of(name) != "n2"}
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -5,7 +5,7 @@
 import pytest
 
 from appledock import wire
-from appledock.core.workers import Workers
+from appledock.core.workers.commands import Commands
 from tests.standins.world import World
 
 
@@ -60,11 +60,11 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # The emptied machines stay, so that the copies find somebody.
-    monkeypatch.setattr("appledock.core.fleet.Fleet._delete", lambda *_: None)
+    monkeypatch.setattr("appledock.core.fleet.returns.Returns.delete", lambda *_: None)
     world = moved_twice(3)
     assert world.judge.broken == []
     # The guard taken out: the judge sees tasks on two machines.
-    monkeypatch.setattr(Workers, "_may_come_again", staticmethod(lambda *_: False))
+    monkeypatch.setattr(Commands, "may_come_again", staticmethod(lambda *_: False))
     assert "ran_twice" in moved_twice(3).judge.kinds()
 
 
