--- a/appledock/core/quota.py
+++ b/appledock/core/quota.py
@@ -286,6 +286,13 @@
         else:
             shares[me] = shares.get(me, NOTHING).most(mine + after)
             spare = (most - total(shares)).most(NOTHING)
+            if team.term == view.term:
+                # For all that wait here at once: raised for one step after the other,
+                # shares took a write each, and the controllers' writes of the record met.
+                waiting = self.held(name).get(me, NOTHING) + total(self._decide(name)[0])
+                more = (waiting - shares[me]).most(NOTHING)
+                shares[me] = shares[me] + more.least(spare.times(c.SHARE_SLACK))
+                spare = (most - total(shares)).most(NOTHING)
             # Some more than needed, so that the next steps need no write; under a new
             # view some for everybody, or each would write each team's record first.
             part = spare.times(c.SHARE_SLACK / max(1, len(view.members)))
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -554,6 +554,12 @@
             self.blocked[job.id] = "team record under way"
             self.later.add(job.id)
             return False
+        if record is not None and reserved and self._crowded():
+            # A step that waits for its write meets the others' changes of the record, and
+            # is then placed anew: the share is raised first, by itself.
+            self._write_team(team, record, Priority.URGENT)
+            self.blocked[job.id] = "team record under way"
+            return False
         if record is not None:
             plan.conditions[TEAMS + team] = record.version
             plan.writes.append(Put(TEAMS + team, record.encode()))
@@ -655,22 +661,23 @@
             surplus = quota.surplus(team)
             if not surplus.some() or team in quota.writing:
                 continue
-            record = quota.lower(team, surplus)
-            plan = TxnPlan(self.e.membership.conditions(), [Put(TEAMS + team, record.encode())])
-            plan.conditions[TEAMS + team] = record.version
-            self._release(team, record, plan)
+            self._write_team(team, quota.lower(team, surplus), Priority.STEP)
 
-    def _release(self, team: str, record: Team, plan: TxnPlan) -> None:
+    def _write_team(self, team: str, record: Team, priority: Priority) -> None:
+        """Change the shares of a team's limit without a step."""
+        plan = TxnPlan(self.e.membership.conditions(), [Put(TEAMS + team, record.encode())])
+        plan.conditions[TEAMS + team] = record.version
         ended = self.e.quota.begin(None, None, team, record)
 
         def done(reply: StoreReply) -> None:
             ended(reply.outcome)
+            self.e.queue_dirty = True
             if reply.outcome == "ok":
                 self._team_written(team, record, reply.data.revision)
             elif reply.outcome in ("conflict", "unknown"):
                 self.e.read_keys([TEAMS + team])
 
-        self.e.store("txn", (plan,), Priority.STEP, done)
+        self.e.store("txn", (plan,), priority, done)
 
     def _back_off(self, job: Job, new: Job) -> None:
         """A job that fails everywhere waits longer and longer."""
