--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -107,6 +107,10 @@
 GATHER_S = 0.3
 GATHER_CROWDED_S = 0.8
 """s; pause between two passes that place arrays. Tasks run for tens of seconds."""
+GATHER_TASKS = 8
+GATHER_STEP_S = 2.0
+"""tasks, s; while steps wait for their writes, an array waits so long for a step of at least
+so many tasks. A step of one task takes the same write as one of eight."""
 VALUE_SLACK = 0.85
 """ratio; part of `value_kb` that a record may fill before no task is added."""
 VALUE_LEAST_BYTES = 1200
--- a/appledock/core/fleet/demand.py
+++ b/appledock/core/fleet/demand.py
@@ -23,7 +23,8 @@
     jobs that will be ready soon."""
     held: dict[str, quota.Amounts] = {}
     result = []
-    for job in _most_urgent_first(engine) + Forecast(engine).upcoming():
+    queued = _most_urgent_first(engine)
+    for job in queued + Forecast(engine).upcoming():
         limits = engine.teams.get(job.spec.team)
         if limits is None or not any(
             placement.type_fits(job.spec, machine_type) for machine_type in engine.types.values()
@@ -41,7 +42,7 @@
         )
         if tasks:
             held[job.spec.team] = used + quota.need(job.spec, tasks)
-            result.append(Demand(job, tasks))
+            result.append(Demand(job, tasks, job.id in engine.replica.queued))
     return result
 
 
--- a/appledock/core/fleet/model.py
+++ b/appledock/core/fleet/model.py
@@ -83,7 +83,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Demand:
-    """Queued tasks of a job that may run as far as its team's limits go."""
+    """Tasks of a job that may run as far as its team's limits go."""
 
     job: Job
     tasks: int
+    ready: bool = True
+    """False: the job still waits for others that are about to end"""
--- a/appledock/core/fleet/returns.py
+++ b/appledock/core/fleet/returns.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from appledock import constants as c
@@ -36,6 +37,14 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class UpcomingTasks:
+    """Tasks of a job that will be ready soon for which no idle machine is kept yet."""
+
+    spec: wire.JobSpec
+    tasks: int
+
+
 class Returns:
     """Returns machines that are idle, drained, faulty, failed or silent."""
 
@@ -55,6 +64,7 @@
         self.silence = SilenceDetector(engine)
         self.summary = Summary(engine, machines)
         self.returning: dict[str, Returning] = {}
+        self.upcoming: list[UpcomingTasks] = []
 
     # --- choice -----------------------------------------------------------
     def review(self, demand: list[Demand], led_since: float | None) -> None:
@@ -67,7 +77,8 @@
         warm = self.headroom.warm(wanted.images)
         self.summary.tell(wanted.cpus, warm, len(self.returning))
         self._return_stuck(led_since)
-        queue = [item.job.spec for item in demand]
+        queue = [item.job.spec for item in demand if item.ready]
+        self._reserve_for_upcoming(demand)
         for name, worker in self.engine.workers.table.items():
             if name in self.returning or worker.report is None or name in self.engine.workers.gone:
                 continue
@@ -103,8 +114,32 @@
             and now - worker.heard_at < c.IDLE_HEARD_S
             and self._surely_empty(name)
             and not self._asked_for(name, queue)
+            and not self._reserve(name)
         )
 
+    def _reserve_for_upcoming(self, demand: list[Demand]) -> None:
+        """Idle machines are kept for jobs that will be ready soon, but no more of them
+        than those need: kept for any of them, nearly every idle machine stayed. Those whose
+        least charge is not used up stay anyway, and serve first."""
+        self.upcoming = [
+            UpcomingTasks(item.job.spec, item.tasks) for item in demand if not item.ready
+        ]
+        for name, worker in self.engine.workers.table.items():
+            if worker.idle_since and not self.machines.past_minimum_charge(name):
+                self._reserve(name)
+
+    def _reserve(self, name: str) -> bool:
+        """Is the idle machine needed for a job that will be ready soon?"""
+        room = self.engine.rooms.table.get(name)
+        if room is None:
+            return False
+        for item in self.upcoming:
+            spec = item.spec
+            if item.tasks > 0 and placement.allowed_on(spec, room) and room.fits(spec):
+                item.tasks -= room.count(spec)
+                return True
+        return False
+
     def _asked_for(self, name: str, queue: list[wire.JobSpec]) -> bool:
         """Could a queued task run there? Steps may only be waiting for their write."""
         room = self.engine.rooms.table.get(name)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -51,6 +51,8 @@
         self.freed: dict[str, float] = {}
         """job -> since when it has lost tasks that are not recorded as lost yet"""
         self.settlement = Settlement(engine)
+        self.gathering: dict[str, float] = {}
+        """array -> since when it waits for room for a larger step"""
         self.preemption = Preemption(engine)
         self.next_queue = 0.0
         self.next_arrays = 0.0
@@ -140,6 +142,7 @@
             self.freed,
             self.ready_at,
             self.invalid,
+            self.gathering,
         )
         for table in tables:
             table.pop(job_id, None)
@@ -368,11 +371,22 @@
         for room, number in placed:
             used[room.zone] = used.get(room.zone, 0) + number
         handoff = self._hand_off(job, rooms, left, job.spec.gang, used) if left else None
+        if (
+            placed
+            and handoff is None
+            and self._gathers(job, rest, sum(number for _, number in placed))
+        ):
+            self.blocked[job.id] = "gathering room"
+            self.e.queue_dirty = True
+            for room, number in placed:
+                room.take(job.spec, -number)
+            return False
         if not placed and handoff is None:
             handoff = self._without_room(job, count, zones)
             if handoff is None:
                 return False
         self.blocked.pop(job.id, None)
+        self.gathering.pop(job.id, None)
         return self._request_step(job, rest, placed, handoff)
 
     def _step_size(self, job: Job, rest: Job) -> int:
@@ -382,6 +396,15 @@
             return rest.queued if most >= rest.queued else 0
         return min(rest.queued, most, int(self.e.admin["step_tasks"]))
 
+    def _gathers(self, job: Job, rest: Job, tasks: int) -> bool:
+        """Writes lack, and the step would be a small one: the array waits for more room,
+        for a bounded time."""
+        if job.spec.service or job.spec.gang or not self._crowded():
+            return False
+        if tasks >= min(rest.queued, c.GATHER_TASKS):
+            return False
+        return self.e.now - self.gathering.setdefault(job.id, self.e.now) < c.GATHER_STEP_S
+
     def _within_team(self, job: Job, zones: dict[str, int]) -> bool:
         """The team's limit lacks: its own work of lower rank makes room, here or elsewhere."""
         if job.spec.gang:
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -51,9 +51,7 @@
         cancel = rng.randrange(5) if number % 3 == 0 else None
         clock.at(
             8 + rng.random() * (until - 25),
-            lambda n=number, x=cancel: pipeline(
-                world, n, x, 1 + 7 * rng.random(), late=n % 4 == 1
-            ),
+            lambda n=number, x=cancel: pipeline(world, n, x, 1 + 7 * rng.random(), late=n % 4 == 1),
         )
     for time in range(14, int(until), 7):
         for fault in faults:
