--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -4,9 +4,17 @@
 
 import pytest
 
+from appledock import constants as c
+from appledock import wire
+from appledock.core import events as ev
+from appledock.core.budget import Priority
+from appledock.core.fleet.model import Demand
 from appledock.core.forecast import Forecast
+from appledock.core.jobs import Job
 from tests.standins import chains
 from tests.standins.world import World
+from tests.test_grown import owner_of_nothing, report
+from tests.test_requests import spec
 
 Patch = pytest.MonkeyPatch
 STAGES: chains.Stages = [("first", []), ("wide", [0]), ("last", [1])]
@@ -69,3 +77,39 @@
     monkeypatch.setattr(Forecast, "upcoming", lambda self: [])
     _, few = wide_stage(3, None)
     assert up == few
+
+
+def test_idle_machines_are_kept_for_a_coming_stage_only_as_far_as_it_needs_them() -> None:
+    """Kept for any coming stage, nearly all idle machines stayed."""
+    e = owner_of_nothing()
+    e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
+    names = [f"vm-{number:06d}" for number in range(6)]
+    for name in names:
+        e.workers.learn(report(name, 1))
+    e.rooms.refresh()
+    returns = e.fleet.returns
+    stage = Job(spec(id="job-000001", crates=9, cores=2.0, memory_gb=1.0), 0.0, 1)
+
+    def kept(demand: list[Demand]) -> int:
+        returns._reserve_for_upcoming(demand)
+        return sum(returns._reserve(name) for name in names)
+
+    assert kept([Demand(stage, 5, ready=False)]) == 3
+    assert kept([Demand(stage, 5, ready=False), Demand(stage, 2, ready=False)]) == 4
+    assert kept([Demand(stage, 5)]) == 0  # what is queued is looked at by itself
+
+
+def test_arrays_gather_room_for_a_larger_step_while_writes_lack() -> None:
+    e = owner_of_nothing()
+    job = Job(spec(id="job-000001", crates=30), 0.0, 1)
+    assert not e.steps._gathers(job, job, 2)
+    for _ in range(c.CROWDED + 1):
+        e.store("txn", (ev.TxnPlan({}, [ev.Put("ad/x", 1)]),), Priority.STEP, lambda reply: None)
+    assert not e.steps._gathers(job, job, c.GATHER_TASKS)
+    assert e.steps._gathers(job, job, 2)
+    nearly_done = Job(spec(id="job-000002", crates=2), 0.0, 1)
+    assert not e.steps._gathers(nearly_done, nearly_done, 2)
+    service = Job(spec(id="job-000003", crates=4, shape="daemon"), 0.0, 1)
+    assert not e.steps._gathers(service, service, 1)
+    e.now += c.GATHER_STEP_S
+    assert not e.steps._gathers(job, job, 2)
