--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -12,10 +12,12 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from appledock.core.engine import Engine
 from appledock.core.fleet import Fleet
+from appledock.core.replica import FINAL, TEAMS
 from appledock.core.requests import Requests
 from appledock.core.steps import Steps
 from appledock.core.workers import Workers
@@ -65,6 +67,7 @@
     tasks = rng.choice([1, 1, 2, 4]) if service else min(180, 1 + int(rng.lognormvariate(3.2, 0.7)))
     return {
         **world.spec(number),
+        "berth": "service" if service else "array",
         "shape": "daemon" if service else "batch",
         "crates": tasks,
         "rank": "production" if service else "standard",
@@ -86,6 +89,7 @@
     return {
         **body(world, 0, False),
         "id": job,
+        "berth": "stage",
         "crates": tasks,
         "rank": "urgent" if last else "best_effort",
         "tethers": needs or None,
@@ -153,6 +157,44 @@
     return world
 
 
+@dataclass
+class WritesOfClass:
+    """What the state service carried out for the jobs of one class."""
+
+    jobs: int = 0
+    records: int = 0
+    """puts of open records: acceptance, steps, lists of finished tasks, stops"""
+    ends: int = 0
+    """puts and deletes of the transactions that ended jobs"""
+
+    @property
+    def each(self) -> float:
+        return (self.records + self.ends) / max(1, self.jobs)
+
+
+def writes_by_class(world: World) -> tuple[dict[str, WritesOfClass], int]:
+    """Writes for the jobs that are over, by class, and those of the teams' records."""
+    result: dict[str, WritesOfClass] = {}
+    over = {job for job in world.judge.jobs if FINAL + job in world.state.rows}
+    teams = 0
+    for event in world.state.history:
+        key = event.get("set") or event["drop"]
+        teams += key.startswith(TEAMS)
+        job = key.rpartition("/")[2]
+        if job not in over:
+            continue
+        spec = world.judge.jobs[job]
+        row = result.setdefault(str(spec["berth"]), WritesOfClass())
+        if key.startswith(FINAL):
+            row.jobs += 1
+            row.ends += 1
+        elif "drop" in event:
+            row.ends += 1
+        else:
+            row.records += 1
+    return result, teams
+
+
 def main(sizes: list[int], chains: bool) -> None:
     for machines in sizes:
         timers = {label: Timer(owner, name) for label, owner, name in WORK}
@@ -168,6 +210,10 @@
                 f"  {label:18} {timer.calls:7} calls, mean {1e6 * mean:8.0f} us, "
                 f"longest {1e3 * timer.longest:7.1f} ms"
             )
+        classes, teams = writes_by_class(world)
+        for name, row in sorted(classes.items()):
+            print(f"  writes of {name:18} {row.jobs:4} jobs over, {row.each:5.1f} each")
+        print(f"  writes of teams' records {teams}")
         share = timers["batch"].seconds / SECONDS / len(world.names)
         print(f"  a controller took {share:.3f} s of processor time a second")
 
