--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,5 +1,5 @@
-"""A rollout into which troubles fall: the version in production serves when the day begins,
-its controllers come back new one after the other, and the judge watches."""
+"""A rollout into which troubles fall: an earlier version serves when the day begins, its
+controllers come back new one after the other, and the judge watches."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from appledock.core.membership import Membership
 from appledock.core.replica import FORMAT
 from tests.standins.chains import pipeline, spec
-from tests.standins.versions import present, production
+from tests.standins.versions import Code, present, production, served
 from tests.standins.world import NEXT, World
 from tests.test_upgrade import verdict
 
@@ -24,9 +24,15 @@
 Trouble = Callable[[World], None]
 
 
-def play(seed: int, trouble: Trouble, announced: dict[str, Any] | None = NEXT) -> World:
-    """A day with arrays, services, cancellations, the trouble and, afterwards, pipelines."""
-    world = World(seed, code=production(), announced=announced)
+def play(
+    seed: int,
+    trouble: Trouble,
+    announced: dict[str, Any] | None = NEXT,
+    before: Code | None = None,
+) -> World:
+    """A day with arrays, services, cancellations, the trouble and, afterwards, pipelines.
+    `before`: the version that serves first, if not the one in production."""
+    world = World(seed, code=before or production(), announced=announced)
     clock, rng = world.clock, world.clock.rng
     for number in range(14):
         one = world.spec(number)
@@ -92,7 +98,7 @@
         clock.at(ROLL_AT + 10, lambda one=one: world.submit(one))
 
     def old_again() -> None:
-        world.nodes[second].code = production()
+        world.nodes[second].code = world.code
         world.nodes[second].crash(AWAY_S)
 
     clock.at(ROLL_AT + 26, old_again)
@@ -211,9 +217,18 @@
 ]
 
 
-@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda trouble: trouble.__name__)
-def test_a_rollout_stands_what_falls_into_it(trouble: Trouble) -> None:
-    world = play(1, trouble)
+@pytest.mark.parametrize(
+    ("before", "trouble"),
+    [
+        *((production, trouble) for trouble in TROUBLES),
+        (served, back_with_the_old_version),
+        (served, all_down_with_mixed_versions),
+        (served, everything_together),
+    ],
+    ids=lambda one: one.__name__,
+)
+def test_a_rollout_stands_what_falls_into_it(before: Callable[[], Code], trouble: Trouble) -> None:
+    world = play(1, trouble, before=before())
     assert verdict(world) == []
     assert {node.runs for node in world.nodes.values()} == {present()}
     assert world.state.rows[FORMAT][0] == {"format": 2}
