Stand-ins: late commands, lost answers, close looks, reports kept for the next leader

Direct commands held up without an answer and carried out once, 2 to 16 s late; transactions carried out at once whose answer alone is lost, and who else read what they wrote; users who ask all nodes within milliseconds after a job was accepted, ended or cancelled, submit it again and sometimes cancel it at once; reports kept for the moment at which the next leader begins; machines whose time until they are up can be set.

--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -257,6 +257,9 @@
         self.rentals: dict[str, list[str]] = {}
         self.out_until = 0.0
         self.old: list[list[dict[str, Any]]] = []
+        self.rented_at: dict[str, float] = {}
+        self.boot_s = (3.0, 7.0)
+        """s that a machine takes until it is up, at least and at most"""
         self.saved: dict[str, float] = {}
         """task -> s of progress that its last checkpoint holds, outside the machines"""
         self.after_hang: list[tuple[str, int]] = []
@@ -316,6 +319,7 @@
             for _ in range(count):
                 name = f"vm-{self.clock.count:06d}{len(names):02d}"
                 names.append(name)
+                self.rented_at[name] = self.clock.now
                 self.machines[name] = {
                     "id": name,
                     "addr": f"10.9.{len(self.machines) // 250}."
@@ -326,7 +330,11 @@
                     "status": "starting",
                     "born": self.clock.now,
                 }
-                self.clock.after(3 + 4 * self.clock.rng.random(), lambda name=name: self._up(name))
+                least, most = self.boot_s
+                self.clock.after(
+                    least + (most - least) * self.clock.rng.random(),
+                    lambda name=name: self._up(name),
+                )
             self.rentals[request["charter"]] = names
         answer(200, {"dockhands": self.rentals[request["charter"]]})
 
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -5,13 +5,15 @@
 import json
 from bisect import bisect_right
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
 
 from tests.standins.clock import Clock
 
 Answer = Callable[[int, Any], None]
+READ_WITHIN_S = 5.0
+"""s in which others read what a transaction without an answer wrote, to be counted"""
 
 
 @dataclass
@@ -29,6 +31,19 @@
     """newer ones of the same controller were carried out first"""
 
 
+@dataclass
+class LostAnswer:
+    """A transaction that was carried out at once, and of which only the answer is lost."""
+
+    node: str
+    keys: set[str]
+    sent: float
+    status: int = 0
+    revision: int = 0
+    read_by: set[str] = field(default_factory=set)
+    """other controllers that read what it wrote, or built on it, within seconds"""
+
+
 @dataclass
 class Watcher:
     prefix: str
@@ -56,6 +71,9 @@
         self.late_writes = 0.0
         """share of transactions without an answer, carried out 2 to 12 s later"""
         self.late: list[LateWrite] = []
+        self.lost_answers = 0.0
+        """share of transactions that are carried out at once and get no answer"""
+        self.lost: list[LostAnswer] = []
         self.carried_out: dict[str, int] = {}
         """controller -> transactions carried out"""
         self.slow_until, self.slow_s = 0.0, 0.0
@@ -151,8 +169,13 @@
         args = {k: v[0] for k, v in parse_qs(query).items()}
         if url == "/txn":
             txn = json.loads(body)
+            self._note_readers(node, {c["key"]: c["stamp"] for c in txn["if"]})
             if self.late_writes and txn["writes"] and (self.clock.rng.random() < self.late_writes):
                 self._hold_back(node, txn)
+            elif (
+                self.lost_answers and txn["writes"] and self.clock.rng.random() < self.lost_answers
+            ):
+                self._lose_answer(node, txn)
             else:
                 self._txn(node, txn, answer)
         elif url == "/follow":
@@ -184,6 +207,8 @@
             )
         elif url.startswith("/keys/"):
             row = self.rows.get(url[6:])
+            if row is not None:
+                self._note_readers(node, {url[6:]: row[1]})
             if row is None:
                 answer(404, {"ledger": self.revision})
             else:
@@ -209,6 +234,26 @@
             self.leases[lease] = (self.clock.now + ttl, ttl)
             answer(200, {})
 
+    def _lose_answer(self, node: str, txn: dict[str, Any]) -> None:
+        keys = {write.get("set", write.get("drop")) for write in txn["writes"]}
+        lost = LostAnswer(node, keys, self.clock.now)
+        self.lost.append(lost)
+
+        def answered(status: int, _: Any) -> None:
+            lost.status, lost.revision = status, self.revision
+
+        self._txn(node, txn, answered)
+
+    def _note_readers(self, node: str, versions: dict[str, int]) -> None:
+        """A controller reads these versions, or makes a transaction conditional on them."""
+        for lost in reversed(self.lost):
+            if self.clock.now - lost.sent > READ_WITHIN_S:
+                return
+            if node != lost.node and any(
+                versions.get(key) == lost.revision for key in lost.keys if lost.status == 200
+            ):
+                lost.read_by.add(node)
+
     def _hold_back(self, node: str, txn: dict[str, Any]) -> None:
         late = LateWrite(
             node,
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -40,6 +41,11 @@
 ]
 
 Answer = Callable[[int, Any], None]
+LOOKS_S = (0.0, 0.001, 0.003, 0.008, 0.02)
+"""s after a job was accepted, ended or cancelled; users ask all nodes each time"""
+CANCEL_AT_ONCE = 0.15
+"""share of the jobs that are cancelled as soon as they are accepted, by users who look
+closely"""
 
 
 NEXT = {"value_kb": 2.0, "txn_ops": 5, "write_rps": 15.0}
@@ -91,6 +97,23 @@
     ).encode()
 
 
+@dataclass
+class LateCommand:
+    """A direct command that was held up, without an answer."""
+
+    node: str
+    incarnation: int
+    machine: str
+    orders: dict[str, Any]
+    sent: float
+    by_leader: bool
+    """its sender led when it sent it"""
+    done: float = 0.0
+    status: int = 0
+    deposed: bool = False
+    """its sender led, and another one did when it arrived"""
+
+
 class Node:
     """One controller process; crashes lose everything it holds."""
 
@@ -302,11 +325,38 @@
             self.clock.after(
                 5 + self.clock.rng.random() * 40, lambda: worker.orders(orders, lambda *_: None)
             )
-        if call.orders is not None and self.clock.rng.random() < self.world.late_orders:
+        late_commands = self.world.late_commands
+        if call.orders is not None and late_commands and self.clock.rng.random() < late_commands:
+            self._hold_command(worker, json.loads(wire.encode(call.orders)))
+        elif call.orders is not None and self.clock.rng.random() < self.world.late_orders:
             self.clock.after(1 + self.clock.rng.random() * 7, arrive)
         else:
             self.clock.send(self.name, name, arrive)
 
+    def _hold_command(self, worker: Worker, orders: dict[str, Any]) -> None:
+        """It is carried out once, seconds later, and its answer reaches nobody."""
+        world, clock = self.world, self.clock
+        late = LateCommand(
+            self.name,
+            self.life,
+            worker.row["id"],
+            orders,
+            clock.now,
+            world.leader() == self.name,
+        )
+        world.commanded.append(late)
+
+        def answered(status: int, _: Any) -> None:
+            late.done, late.status = clock.now, status
+
+        def arrive() -> None:
+            late.deposed = late.by_leader and (
+                world.leader() != self.name or self.life != late.incarnation
+            )
+            worker.orders(orders, answered)
+
+        clock.after(2 + 14 * clock.rng.random(), arrive)
+
     def request(self, method: str, path: str, body: bytes, answer: Answer) -> None:
         self.asked += 1
         try:
@@ -345,6 +395,19 @@
         self.copied: list[tuple[float, str, str]] = []
         """late copies of reports: when, to whom, and whether its machine is `gone`, or in a
         later `session`, or has seen a higher `token`, or none of it"""
+        self.late_commands = 0.0
+        """share of direct commands that get no answer and are carried out 2 to 16 s late"""
+        self.commanded: list[LateCommand] = []
+        self.for_next = 0.0
+        """share of reports of which a copy is kept for the moment of the next leader"""
+        self.kept: list[bytes] = []
+        self.close_looks = 0.0
+        """share of the jobs about which users ask at all nodes within milliseconds, and which
+        they submit again, right after they were accepted, ended or cancelled"""
+        self.looks: list[tuple[str, str]] = []
+        """after what, and at which job they looked"""
+        self.came_up: dict[str, float] = {}
+        """machine -> when its worker was up"""
         self.called_off: set[str] = set()
         self.mute: dict[str, float] = {}
         """machine -> until when it reaches no controller, while commands reach it"""
@@ -398,6 +461,7 @@
         self.zone_cuts += [(zone, inside, until), ("b" if zone == "a" else "a", outside, until)]
 
     def _machine_up(self, name: str) -> None:
+        self.came_up[name] = self.clock.now
         for zone, side, until in self.zone_cuts:
             if self.clock.now < until and self.cloud.workers[name].row["quay"] == zone:
                 side.add(name)
@@ -405,7 +469,9 @@
     def peace(self) -> None:
         """All troubles are over."""
         self.late = self.late_orders = self.repeats = self.copies = self.loyal = 0.0
-        self.at_end = self.state.late_writes = 0.0
+        self.at_end = self.state.late_writes = self.state.lost_answers = 0.0
+        self.late_commands = self.for_next = self.close_looks = 0.0
+        self.kept.clear()
         self.judge.peace = self.clock.now
 
     # --- network to the controllers ---------------------------------------
@@ -420,6 +486,8 @@
             self.late_copy(
                 self.clock.rng.choice(self.names), body, 2 + self.clock.rng.random() * 40
             )
+        if path == wire.PATH_REPORT and self.for_next and self.clock.rng.random() < self.for_next:
+            self.kept.append(body)
         if not target.up:
             self.clock.after(0.01, lambda: answer(0, {}))
             return
@@ -448,6 +516,32 @@
 
         self.clock.after(delay, arrive)
 
+    def keep_for_next(self, share: float, seconds: float) -> None:
+        """Copies of that share of the reports reach every controller, the new leader too, at
+        the moment at which the next leader begins."""
+        self.for_next = share
+        until, leader = self.clock.now + seconds, self._led_by()
+
+        def look() -> None:
+            nonlocal leader
+            if self.clock.now >= until or not self.for_next:
+                self.for_next = 0.0
+                return
+            if self._led_by() != leader:
+                leader = self._led_by()
+                kept, self.kept = self.kept, []
+                for body in kept:
+                    for name in self.names:
+                        self.late_copy(name, body, 0.05 * self.clock.rng.random())
+            self.clock.after(0.01, look)
+
+        look()
+
+    def _led_by(self) -> str:
+        """Incarnation of the leader in the newest view."""
+        view = self.view()
+        return view.members.get(view.leader, "") if view else ""
+
     def _age(self, report: dict[str, Any]) -> str:
         worker = self.cloud.workers.get(report["dockhand"])
         if worker is None:
@@ -526,6 +620,20 @@
         self.judge.asked_cancel.add(job)
         self._ask(job, "POST", f"/v2/runs/{job}/cancel", b"", (200,), None)
 
+    def used_cores(self) -> dict[str, float]:
+        """team -> cores of its tasks that are on machines"""
+        used: dict[str, float] = {}
+        for task, places in self.judge.on.items():
+            job = self.judge.jobs[task.partition("/")[0]]
+            used[job["owner"]] = used.get(job["owner"], 0.0) + job["cores"] * len(places)
+        return used
+
+    def tasks_on(self, machine: str) -> list[str]:
+        """Tasks that a machine has taken on and that are not over."""
+        worker = self.cloud.workers.get(machine)
+        rows = worker.tasks.items() if worker else ()
+        return sorted(task for (task, _), row in rows if row["status"] != "exited")
+
     def long_running(self, left_s: float = 20.0) -> dict[str, list[str]]:
         """Jobs that nobody cancelled, whose tasks run and have long to go -> machines."""
         found: dict[str, list[str]] = {}
@@ -554,7 +662,29 @@
                 self.cloud.workers[name].hang(hang_s)
         return jobs
 
+    def _look_closely(self, job: str, after: str) -> None:
+        """Users ask all nodes within milliseconds, and submit the job again at each; some
+        call it off at once."""
+        rng = self.clock.rng
+        if not self.close_looks or rng.random() >= self.close_looks:
+            return
+        self.looks.append((after, job))
+        body = self._body(self.judge.jobs[job])
+        for name in self.names:
+            for delay in LOOKS_S:
+                self.clock.after(
+                    delay + 0.001 * rng.random(),
+                    lambda name=name: self._ask(job, "GET", f"/v2/runs/{job}", b"", (), None, name),
+                )
+            self.clock.after(
+                0.02 * rng.random(),
+                lambda name=name: self._ask(job, "POST", "/v2/runs", body, (200, 201), None, name),
+            )
+        if after == "accepted" and rng.random() < CANCEL_AT_ONCE:
+            self.cancel(job)
+
     def _completed(self, job: str) -> None:
+        self._look_closely(job, "last task")
         rng = self.clock.rng
         if self.at_end and rng.random() < self.at_end:
             kind = ["cancel", "ask", "cancel", "submit"][len(self.at_ends) % 4]
@@ -679,7 +809,7 @@
             else:
                 over = status in good or method == "GET"
                 if status:
-                    self.judge.answered(job, sent, status, reply.get("status"), method == "GET")
+                    self._user_told(job, sent, status, reply.get("status"), method == "GET")
             if not over:
                 self.clock.after(1.0, lambda: self._ask(job, method, path, body, good, then))
             elif then:
@@ -689,6 +819,16 @@
             self.call_node("user", self.clock.rng.choice(up), method, path, body, answered)
         self.clock.after(2.0 if method == "GET" else 5.0, lambda: answered(0, {}))
 
+    def _user_told(self, job: str, sent: float, status: int, state: str | None, poll: bool) -> None:
+        """An answer: the judge looks at it, and users who look closely at what is new."""
+        judge = self.judge
+        accepted, final = job in judge.accepted, job in judge.final
+        judge.answered(job, sent, status, state, poll)
+        if job in judge.accepted and not accepted:
+            self._look_closely(job, "accepted")
+        if job in judge.final and not final:
+            self._look_closely(job, judge.final[job][0])
+
     def _poll(self, job: str) -> None:
         final = self.judge.final.get(job)
         if final and self.clock.now > final[1] + 20:
