--- a/appledock/adapters/cloud.py
+++ b/appledock/adapters/cloud.py
@@ -21,6 +21,7 @@
         self.client = Client(host, port, most=4)
 
     async def run(self, call: CloudCall) -> CloudReply:
+        """Carry out a call; its outcome says whether it was executed."""
         method, path, body = request(call)
         try:
             status, answer = await self.client.request(method, path, body, call.timeout)
--- a/appledock/adapters/store.py
+++ b/appledock/adapters/store.py
@@ -39,6 +39,7 @@
         self.watch = Client(host, port, most=2)
 
     async def run(self, call: StoreCall) -> StoreReply:
+        """Carry out a call; its outcome says whether it was executed."""
         method, path, body = request(call)
         client = self.watch if call.op == "watch" else self.calls
         try:
--- a/appledock/adapters/workers.py
+++ b/appledock/adapters/workers.py
@@ -16,8 +16,10 @@
 
 
 class WorkerCalls:
-    """One connection to each worker, one call at a time on it; at most `most` are kept,
-    those used last."""
+    """One connection to each worker, one call at a time on it.
+
+    At most `most` are kept, those used last.
+    """
 
     def __init__(self, most: int) -> None:
         self.most = most
@@ -34,6 +36,7 @@
         return client
 
     async def run(self, call: WorkerCall) -> WorkerReply:
+        """Send orders or ask for the report; a report comes with nearly every answer."""
         try:
             client = self._client(call.addr)
             if call.orders is None:
--- a/appledock/app.py
+++ b/appledock/app.py
@@ -7,8 +7,8 @@
 import logging
 import random
 import time
-from collections.abc import Awaitable
-from typing import TypeVar
+from collections.abc import Awaitable, Coroutine
+from typing import Any, TypeVar
 
 from appledock import constants as c
 from appledock import wire
@@ -79,9 +79,11 @@
             self.push(ev.Tick())
 
     def push(self, command: ev.Cmd) -> None:
-        """Queue a command; the whole queue is worked through as one batch. Batches keep
-        a least distance: with hundreds of machines what follows from a batch cost more
-        than its commands, since nearly every command was a batch of its own."""
+        """Queue a command; the whole queue is worked through as one batch.
+
+        Batches keep a least distance: with hundreds of machines what follows from a batch cost
+        more than its commands, since nearly every command was a batch of its own.
+        """
         self.queue.append(command)
         if not self.scheduled:
             self.scheduled = True
@@ -105,7 +107,7 @@
                 self.links[name].send(b"".join(payloads))
                 payloads.clear()
 
-    def _request(self, method: str, path: str, query: str, body: bytes, answer: Answer) -> None:
+    def _request(self, method: str, path: str, _query: str, body: bytes, answer: Answer) -> None:
         self.asked += 1
         if path == users.ADMIN + "metrics" and method == "GET":
             answer(
@@ -171,15 +173,18 @@
 
     @staticmethod
     async def _certainly(answer: Awaitable[Called], unknown: Called) -> Called:
-        """The answer, whatever happens. Guards against calls that the core waits for for
-        ever: one renewal, proof or rental whose end it never hears, and it sends no other."""
+        """Give the answer, whatever happens.
+
+        Guards against calls that the core waits for for ever: one renewal, proof or rental
+        whose end it never hears, and it sends no other.
+        """
         try:
             return await answer
         except Exception:  # a bug, or an answer that a library chokes on
             log.exception("call failed")
             return unknown
 
-    def _spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self._ended)
--- a/appledock/cli.py
+++ b/appledock/cli.py
@@ -12,7 +12,8 @@
 import click
 
 from appledock import __version__
-from appledock.settings import Settings, SettingsError, load
+from appledock.net.http import Client, NoAnswer, NotSent
+from appledock.settings import Settings, SettingsError, load, split_address
 
 LEVELS = {
     "error": logging.ERROR,
@@ -33,15 +34,17 @@
         format="%(asctime)s %(levelname)s %(name)s %(message)s",
     )
     if name not in LEVELS:
-        logging.warning("unknown LOG_LEVEL %r, using info", name)
+        logging.getLogger().warning("unknown LOG_LEVEL %r, using info", name)
 
 
 def fail(text: str, code: int) -> NoReturn:
+    """End the program with an error message."""
     click.echo(f"appledock: {text}", err=True)
     sys.exit(code)
 
 
 def read_settings(path: str) -> Settings:
+    """Read the settings file, or end the program."""
     try:
         return load(path)
     except SettingsError as error:
@@ -54,7 +57,7 @@
     set_up_logging()
 
     async def start() -> None:
-        from appledock.app import App
+        from appledock.app import App  # noqa: PLC0415  (the other commands start faster)
 
         await App(settings).run()
 
@@ -69,8 +72,6 @@
 # --- the administration API -----------------------------------------------
 def ask(api: str, method: str, path: str, body: Any = None) -> Any:
     """One request to the administration API; ends the program if it fails."""
-    from appledock.net.http import Client, NoAnswer, NotSent
-    from appledock.settings import split_address
 
     async def request() -> tuple[int, bytes]:
         client = Client(*split_address(api))
@@ -119,6 +120,7 @@
 
 
 def show(reply: Any, as_json: bool, rows: list[dict[str, Any]], columns: list[str]) -> None:
+    """Print a reply as JSON or as a table."""
     if as_json:
         click.echo(json.dumps(reply, indent=2))
     else:
@@ -254,6 +256,7 @@
 
 
 def show_settings(reply: Any, as_json: bool) -> None:
+    """Print the operators' settings."""
     rows = [{"name": name, **row} for name, row in reply["settings"].items()]
     show(reply, as_json, rows, ["name", "value", "default", "least", "most", "unit", "reason"])
 
@@ -289,6 +292,8 @@
 
 
 def machine_command(action: str, text: str) -> None:
+    """Add a command that does something to one machine."""
+
     @API
     @click.argument("machine")
     def command(api: str, machine: str) -> None:
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -12,7 +12,7 @@
 from appledock import constants as c
 from appledock.core.budget import Priority
 from appledock.core.events import Admin, Put, Reply, SetLogLevel, StoreReply, TxnPlan
-from appledock.core.jobs import Job
+from appledock.core.jobs import Attempt, Job
 from appledock.core.quota import NOTHING
 from appledock.core.replica import SETTINGS
 
@@ -90,6 +90,7 @@
 
     # --- requests ---------------------------------------------------------
     def request(self, cmd: Admin) -> None:
+        """Answer a request."""
         match (cmd.method, *cmd.path):
             case ("GET", "status"):
                 self._answer(cmd, self.status())
@@ -118,6 +119,7 @@
 
     # --- reading ----------------------------------------------------------
     def status(self) -> dict[str, Any]:
+        """The cluster as this controller sees it."""
         e = self.e
         view = e.replica.view
         budget = e.budget
@@ -143,30 +145,30 @@
         }
 
     def jobs(self) -> list[dict[str, Any]]:
+        """Open jobs, and what they wait for."""
+        jobs = self.e.replica.jobs
+        return [self._job(jobs[job_id]) for job_id in sorted(jobs)]
+
+    def _job(self, job: Job) -> dict[str, Any]:
         e = self.e
-        rows = []
-        for job in sorted(e.replica.jobs.values(), key=lambda job: job.id):
-            rows.append(
-                {
-                    "id": job.id,
-                    "class": job.spec.job_class,
-                    "team": job.spec.team,
-                    "priority": job.spec.priority,
-                    "tasks": job.spec.tasks,
-                    "done": len(job.done),
-                    "open": job.open_tasks,
-                    "queued": job.queued,
-                    "cancelled": e.replica.withdrawn(job.id),
-                    "owner": e.replica.job_owner(job) if e.replica.view else None,
-                    "failures": job.failures,
-                    "waits_for": self._waits_for(job),
-                    "needs": job.spec.needs or [],
-                    "needs_left": e.replica.needs.left(job.id),
-                    "needed_by": sorted(e.replica.needs.dependents.get(job.id, ())),
-                    "unsettled": [self._attempt(job, attempt) for attempt in job.attempts],
-                }
-            )
-        return rows
+        return {
+            "id": job.id,
+            "class": job.spec.job_class,
+            "team": job.spec.team,
+            "priority": job.spec.priority,
+            "tasks": job.spec.tasks,
+            "done": len(job.done),
+            "open": job.open_tasks,
+            "queued": job.queued,
+            "cancelled": e.replica.withdrawn(job.id),
+            "owner": e.replica.job_owner(job) if e.replica.view else None,
+            "failures": job.failures,
+            "waits_for": self._waits_for(job),
+            "needs": job.spec.needs or [],
+            "needs_left": e.replica.needs.left(job.id),
+            "needed_by": sorted(e.replica.needs.dependents.get(job.id, ())),
+            "unsettled": [self._attempt(job, attempt) for attempt in job.attempts],
+        }
 
     def _waits_for(self, job: Job) -> str | None:
         needs = self.e.replica.needs
@@ -177,7 +179,7 @@
             return "jobs that it needs" + (", some not read yet" if unread else "")
         return self.e.steps.blocked.get(job.id)
 
-    def _attempt(self, job: Any, attempt: Any) -> dict[str, Any]:
+    def _attempt(self, job: Job, attempt: Attempt) -> dict[str, Any]:
         """An attempt that is not settled, and what its settlement waits for."""
         worker = self.e.workers.table.get(attempt.machine)
         if worker is None or worker.report is None:
@@ -200,6 +202,7 @@
         }
 
     def machines(self) -> list[dict[str, Any]]:
+        """Machines whose workers report."""
         e = self.e
         rows = []
         if e.replica.view:
@@ -230,6 +233,7 @@
         return rows
 
     def teams(self) -> list[dict[str, Any]]:
+        """What the teams hold of their guarantees and limits."""
         rows = []
         for name, team in sorted(self.e.teams.items()):
             known = self.e.replica.view is not None
@@ -253,6 +257,7 @@
         return rows
 
     def settings(self) -> dict[str, Any]:
+        """Values, defaults, ranges and reasons of the settings."""
         return {
             "version": self.e.replica.settings[0],
             "settings": {
@@ -270,8 +275,10 @@
 
     # --- changing ---------------------------------------------------------
     def _change(self, cmd: Admin) -> None:
-        """`{"settings": {name: value or null}, "version": n}`; null: the default again.
-        With a version, a change made meanwhile by somebody else gives 409."""
+        """Take `{"settings": {name: value or null}, "version": n}`; null: the default again.
+
+        With a version, a change made meanwhile by somebody else gives 409.
+        """
         body = cmd.body
         if not isinstance(body, dict) or not isinstance(body.get("settings"), dict):
             self._answer(cmd, {"error": "settings: an object is needed"}, 400)
--- a/appledock/core/aims.py
+++ b/appledock/core/aims.py
@@ -40,11 +40,11 @@
         return table.get(job_class, set()) | table.get(None, set())
 
     def finished_in(self, spec: wire.JobSpec) -> list[float]:
-        """s by which the job should be over, from when it can start, one for each aim."""
+        """Seconds by which it should be over from when it can start, one for each aim."""
         return sorted(self._of(self.finished, spec.job_class))
 
     def deadlines(self, spec: wire.JobSpec) -> list[float]:
-        """s from submission by which it should be over, one for each aim."""
+        """Seconds from submission by which it should be over, one for each aim."""
         if spec.deadline_s is None:
             return []
         return sorted(
@@ -52,7 +52,7 @@
         )
 
     def aged(self, spec: wire.JobSpec) -> float:
-        """s of waiting after which a job that has not begun comes first in its rank."""
+        """Seconds of waiting after which a job that has not begun comes first in its rank."""
         limits = self._of(self.wait, spec.job_class)
         if not limits or spec.service:
             return c.AGED_S
--- a/appledock/core/cancels.py
+++ b/appledock/core/cancels.py
@@ -74,8 +74,10 @@
             self.e.emit(PeerSend(self._message(job_id, job, job.version), name))
 
     def on_peer(self, message: JobCancelled) -> None:
-        """A committed record is true wherever it comes from; the newest version wins,
-        as with a read ahead of the watch."""
+        """Take over a committed record, which is true wherever it comes from.
+
+        The newest version wins, as with a read ahead of the watch.
+        """
         job_id, version = message.job, message.version
         if message.record is not None:
             self.e.replica.put(JOBS + job_id, message.record, version)
@@ -101,8 +103,10 @@
             self._halt(report, tasks)
 
     def _halt(self, report: wire.Report, tasks: list[wire.TaskReport]) -> None:
-        """Straight to the worker, with its own token: a higher one would make a launch
-        of the present owner void, a lower one is refused."""
+        """Halt straight at the worker, with its own token.
+
+        A higher one would make a launch of the present owner void, a lower one is refused.
+        """
         now = self.e.now
         due = [
             task
@@ -132,49 +136,63 @@
         self.e.call(lambda tag: WorkerCall(tag, report.addr, orders, c.ORDERS_TIMEOUT_S), answered)
 
     def _news(self, report: wire.Report) -> None:
-        """Only of workers known already: one first heard of while we have no authority
-        would be judged by a term that may be long over."""
+        """Take in the report of a worker that is known already.
+
+        One first heard of while we have no authority would be judged by a term that may be long
+        over.
+        """
         worker = self.e.workers.table.get(report.worker)
         if worker is not None and worker.report is not None:
             self.e.workers.learn(report)
 
     # --- timers -----------------------------------------------------------
     def tick(self) -> None:
+        """Halt what cancelled jobs still run, and delete machines in the last resort."""
         now, replica = self.e.now, self.e.replica
         if now < self.next_look:
             return
         self.next_look = now + c.SILENCE_EVERY_S
         if not replica.cancelled and not self.known:
             return
-        for job_id in [j for j in self.known if j not in replica.cancelled]:
-            del self.known[job_id]
-        self.halted = {key: at for key, at in self.halted.items() if now - at < c.HALT_AGAIN_S}
-        self.deleting = {
-            name: at for name, at in self.deleting.items() if now - at < c.CANCEL_DELETE_AGAIN_S
-        }
-        machines: dict[str, list[wire.TaskReport]] = {}
-        doomed: list[str] = []
+        self._forget_old()
+        to_halt: dict[str, list[wire.TaskReport]] = {}
+        to_delete: set[str] = set()
         for job_id in sorted(replica.cancelled):
             job = replica.jobs[job_id]
-            known = self.known.get(job_id)
-            if known is None:
-                at = now - max(0.0, self.e.wall - job.cancelled_at) if job.cancelled_at else now
-                known = self.known[job_id] = Known(now, at)
+            known = self._know(job)
             late = self._late(known)
             for attempt in job.attempts:
                 worker = self.e.workers.table.get(attempt.machine)
                 if worker is not None and self._helps(worker, known):
                     shown = self._shown(worker, job_id, attempt)
                     if shown:
-                        machines.setdefault(attempt.machine, []).extend(shown)
+                        to_halt.setdefault(attempt.machine, []).extend(shown)
                 if late and self._may_run(worker, job, attempt):
-                    doomed.append(attempt.machine)
-        for name, tasks in machines.items():
+                    to_delete.add(attempt.machine)
+        for name, tasks in to_halt.items():
             report = self.e.workers.table[name].report
             assert report is not None
             self._halt(report, tasks)
-        if doomed:
-            self._delete(sorted(set(doomed)))
+        if to_delete:
+            self._delete(sorted(to_delete))
+
+    def _forget_old(self) -> None:
+        now = self.e.now
+        for job_id in [j for j in self.known if j not in self.e.replica.cancelled]:
+            del self.known[job_id]
+        self.halted = {key: at for key, at in self.halted.items() if now - at < c.HALT_AGAIN_S}
+        self.deleting = {
+            name: at for name, at in self.deleting.items() if now - at < c.CANCEL_DELETE_AGAIN_S
+        }
+
+    def _know(self, job: Job) -> Known:
+        """Since when we know of the cancellation, and when the user was told."""
+        known = self.known.get(job.id)
+        if known is None:
+            now = self.e.now
+            at = now - max(0.0, self.e.wall - job.cancelled_at) if job.cancelled_at else now
+            known = self.known[job.id] = Known(now, at)
+        return known
 
     def _helps(self, worker: Worker, known: Known) -> bool:
         """Is the halt ours to send, since who owns the machine may be unable to?"""
@@ -194,8 +212,10 @@
 
     # --- the last resort --------------------------------------------------
     def _late(self, known: Known) -> bool:
-        """Is the time nearly over, and was halting tried for a while? The owner, who
-        sees most, is first; the others follow if the machine is not gone then."""
+        """Is the time nearly over, and was halting tried for a while?
+
+        The owner, who sees most, is first; the others follow if the machine is not gone then.
+        """
         cancel_s = self.e.settings.cluster.workers.cancel_s
         return (
             self.e.now > known.told + cancel_s - c.CANCEL_DELETE_S
@@ -203,9 +223,12 @@
         )
 
     def _may_run(self, worker: Worker | None, job: Job, attempt: Attempt) -> bool:
-        """May a task of the attempt go on? Not if a proof says that it is over, nor if
-        its machine, heard of lately, shows that it is not there: then only a launch under
-        way could bring it, which its session or a new term makes void."""
+        """May a task of the attempt go on?
+
+        Not if a proof says that it is over, nor if its machine, heard of lately, shows that it
+        is not there: then only a launch under way could bring it, which its session or a new
+        term makes void.
+        """
         workers = self.e.workers
         if attempt.machine in workers.gone or worker is None:
             return False
@@ -221,9 +244,11 @@
         return not near or bool(self._shown(worker, job.id, attempt))
 
     def _delete(self, names: list[str]) -> None:
-        """One request with all of them; again until the cloud answers. Who hears of few
-        workers has a doubtful picture and deletes nothing: it is cut off itself, and the
-        workers' leases end without it."""
+        """Delete the machines in one request; again until the cloud answers.
+
+        Who hears of few workers has a doubtful picture and deletes nothing: it is cut off
+        itself, and the workers' leases end without it.
+        """
         now = self.e.now
         names = [
             name for name in names if now - self.deleting.get(name, -1e9) >= c.CANCEL_DELETE_AGAIN_S
--- a/appledock/core/events.py
+++ b/appledock/core/events.py
@@ -13,30 +13,40 @@
 
 @dataclass(slots=True)
 class Submit:
+    """A user submits a job."""
+
     ask: int
     spec: wire.JobSpec
 
 
 @dataclass(slots=True)
 class Poll:
+    """A user asks for the state of a job."""
+
     ask: int
     job: str
 
 
 @dataclass(slots=True)
 class Cancel:
+    """A user cancels a job."""
+
     ask: int
     job: str
 
 
 @dataclass(slots=True)
 class Reported:
+    """A worker reports."""
+
     ask: int
     report: wire.Report
 
 
 @dataclass(slots=True)
 class Health:
+    """The platform asks whether requests can be taken."""
+
     ask: int
 
 
@@ -52,9 +62,11 @@
 
 @dataclass(slots=True)
 class StoreReply:
-    """`outcome`: ok, conflict, missing, refused (not executed; the data may be the
-    status), gone (watch too
-    old), expired (no such lease), invalid, or unknown (may be executed yet)."""
+    """Answer of the state service.
+
+    `outcome`: ok, conflict, missing, refused (not executed; the data may be the status), gone
+    (watch too old), expired (no such lease), invalid, or unknown (may be executed yet).
+    """
 
     tag: int
     outcome: str
@@ -88,12 +100,14 @@
 
 @dataclass(slots=True)
 class PeerOpened:
+    """A link to a peer (re)opened."""
+
     name: str
 
 
 @dataclass(slots=True)
 class Tick:
-    pass
+    """Time to look at the timers."""
 
 
 Cmd = (
@@ -116,6 +130,8 @@
 
 @dataclass(slots=True)
 class Reply:
+    """The answer to a request."""
+
     ask: int
     status: int
     body: Any
@@ -162,6 +178,8 @@
 
 @dataclass(slots=True)
 class SetLogLevel:
+    """Log more or less from now on."""
+
     level: str
 
 
@@ -170,6 +188,8 @@
 
 @dataclass(slots=True)
 class Put:
+    """Write a key."""
+
     key: str
     value: Any
     lease: int | None = None
@@ -177,6 +197,8 @@
 
 @dataclass(slots=True)
 class Drop:
+    """Delete a key."""
+
     key: str
 
 
--- a/appledock/core/fleet/catalogue.py
+++ b/appledock/core/fleet/catalogue.py
@@ -31,8 +31,10 @@
         self.read_version = -1
 
     def load_stored(self) -> None:
-        """Types last seen by any controller, so that an outage of the cloud
-        does not keep a restarted controller from deciding."""
+        """Take over the types that any controller has seen last.
+
+        So an outage of the cloud does not keep a restarted controller from deciding.
+        """
         version, rows = self.engine.replica.catalogue
         if version == self.read_version:
             return
--- a/appledock/core/fleet/cordons.py
+++ b/appledock/core/fleet/cordons.py
@@ -60,17 +60,21 @@
             self.set_everywhere(machine, FAULTY)
 
     def announce_all(self, to: str, returning: Container[str]) -> None:
-        """What a peer whose link has just opened must know. Cordons of idle machines
-        are the leader's alone to tell: those that it is `returning`."""
+        """Tell a peer whose link has just opened what it must know.
+
+        Cordons of idle machines are the leader's alone to tell: those that it is `returning`.
+        """
         for worker in self.engine.workers.table.values():
             if worker.cordoned and (worker.cordoned != IDLE or worker.id in returning):
                 self.announce(worker.id, worker.cordoned, to)
 
     def drain(self, returning: Container[str]) -> None:
-        """Machines an operator wants emptied: work of ours is stopped with its
-        grace and moves on; the leader returns the machine once it is empty. From
-        a machine about to be taken, only work goes that can save itself: the rest
-        would lose nothing by running on."""
+        """Stop work on machines that are to be emptied.
+
+        Work of ours on a machine that an operator drains is stopped with its grace and moves
+        on; the leader returns the machine once it is empty. From a machine about to be taken,
+        only work goes that can save itself: the rest would lose nothing by running on.
+        """
         for name, worker in self.engine.workers.table.items():
             if self._lapsed(worker) and name not in returning:
                 # Guards against room lost for ever: a leader that ended or was replaced
--- a/appledock/core/fleet/headroom.py
+++ b/appledock/core/fleet/headroom.py
@@ -88,8 +88,10 @@
             self.arrivals[job.id] = Arrival(self.engine.now - age_s, job.spec)
 
     def wanted(self) -> Wanted:
-        """Cores to keep for services that come while a machine would boot and
-        fetch, and the images asked for lately."""
+        """Cores to keep for services, and the images asked for lately.
+
+        Enough for those that come while a machine would boot and fetch.
+        """
         now, window_s = self.engine.now, c.HEADROOM_WINDOW_S
         self.arrivals = {
             job_id: arrival
@@ -108,8 +110,11 @@
         return Wanted(cpus + max(images.values(), default=0.0), images)
 
     def warm(self, images: dict[str, float]) -> WarmMachines:
-        """Ordinary machines with an image in demand: cores that a service could
-        get there at once, free or held by work that makes way for it."""
+        """Find the ordinary machines with an image in demand.
+
+        Their cores are those that a service could get there at once, free or held by work that
+        makes way for it.
+        """
         machines = {}
         jobs, by_machine = self.engine.replica.jobs, self.engine.replica.by_machine
         for room in self.engine.rooms.table.values():
--- a/appledock/core/fleet/machines.py
+++ b/appledock/core/fleet/machines.py
@@ -148,8 +148,11 @@
         )
 
     def stuck(self, name: str, machine: BootingMachine, led_since: float | None) -> bool:
-        """Has the machine failed to come up? One listed as running may only be
-        unknown to this controller, which perhaps leads since a moment ago."""
+        """Has the machine failed to come up?
+
+        One listed as running may only be unknown to this controller, which perhaps leads since
+        a moment ago.
+        """
         machine_type = self.engine.types.get(machine.kind.type)
         if machine.age_s <= late_after_s(machine_type) or led_since is None:
             return False
--- a/appledock/core/fleet/offers.py
+++ b/appledock/core/fleet/offers.py
@@ -29,8 +29,10 @@
     def cheapest(
         self, spec: wire.JobSpec, tasks: int, only: str | None = None
     ) -> MachineKind | None:
-        """The kind that costs least per task, among those not refused lately. `only`:
-        in this zone."""
+        """Find the kind that costs least per task, among those not refused lately.
+
+        `only`: in this zone.
+        """
         best: tuple[float, MachineKind] | None = None
         for machine_type, kind in self._kinds_for(spec, only):
             if self.refused.get(kind, 0.0) > self.engine.now:
--- a/appledock/core/fleet/planning.py
+++ b/appledock/core/fleet/planning.py
@@ -35,8 +35,10 @@
         self.rental = rental
 
     def plan(self, demand: list[Demand], returning: Container[str]) -> None:
-        """Rent for what neither fits now nor will fit soon; machines that are
-        `returning` offer nothing."""
+        """Rent for what neither fits now nor will fit soon.
+
+        Machines that are `returning` offer nothing.
+        """
         if not demand:
             return
         booting = self.machines.booting()
@@ -147,8 +149,11 @@
     def _preferred_zones(
         self, spec: wire.JobSpec, tasks: int, held: dict[str, int], free: dict[str, int]
     ) -> list[str]:
-        """Zones that may take tasks of the job: those with most room first, and then
-        those where machines are to be had. A job of one zone gets only one."""
+        """Order the zones that may take tasks of the job.
+
+        Those with most room come first, and then those where machines are to be had. A job of
+        one zone gets only one.
+        """
 
         def nothing_to_rent(zone: str) -> bool:
             return self.offers.cheapest(spec, tasks, zone) is None
--- a/appledock/core/fleet/returns.py
+++ b/appledock/core/fleet/returns.py
@@ -153,8 +153,11 @@
             self.delete(due[: c.DELETE_MAX])
 
     def _well_again(self, name: str, item: Returning) -> bool:
-        """Guards against an outage of the cloud: the machine is well again, with
-        all that runs on it, when the deletion could go out at last."""
+        """Has the machine been heard of since it was to be deleted as silent?
+
+        Guards against an outage of the cloud: the machine is well again, with all that runs on
+        it, when the deletion could go out at last.
+        """
         worker = self.engine.workers.table.get(name)
         return (
             item.why in ENDED_BY_A_REPORT
--- a/appledock/core/fleet/silence.py
+++ b/appledock/core/fleet/silence.py
@@ -22,8 +22,10 @@
         self.engine = engine
 
     def calm(self) -> bool:
-        """Are most workers heard of, and our own by ourselves? If not, the trouble is
-        ours or the network's."""
+        """Are most workers heard of, and our own by ourselves?
+
+        If not, the trouble is ours or the network's.
+        """
         now, workers = self.engine.now, self.engine.workers
         near_s = 2 * self.engine.settings.cluster.workers.report_s
         heard = [now - w.well_at < near_s for w in workers.table.values() if w.report]
--- a/appledock/core/intervals.py
+++ b/appledock/core/intervals.py
@@ -9,7 +9,7 @@
 class IntervalSet:
     """Sorted, disjoint, closed intervals of integers; written `0-5,7,9-12`."""
 
-    __slots__ = ("_lows", "_highs", "size")
+    __slots__ = ("_highs", "_lows", "size")
 
     def __init__(self, numbers: Iterable[int] = ()) -> None:
         self._lows: list[int] = []
@@ -20,6 +20,7 @@
 
     @classmethod
     def parse(cls, text: str) -> IntervalSet:
+        """Read the written form."""
         result = cls()
         for part in text.split(",") if text else ():
             low, _, high = part.partition("-")
@@ -49,6 +50,7 @@
             yield from range(low, high + 1)
 
     def add(self, number: int) -> None:
+        """Add one number."""
         place = bisect_right(self._lows, number)
         if place and number <= self._highs[place - 1]:
             return
@@ -81,6 +83,7 @@
             yield start, total - 1
 
     def copy(self) -> IntervalSet:
+        """Make an independent copy."""
         other = IntervalSet()
         other._lows, other._highs = self._lows[:], self._highs[:]
         other.size = self.size
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -70,13 +70,16 @@
     # --- state ------------------------------------------------------------
     @property
     def view(self) -> View | None:
+        """The newest view known."""
         return self.e.replica.view
 
     @property
     def term(self) -> int:
+        """Number of the newest view known, 0 before the first."""
         return self.view.term if self.view else 0
 
     def member(self) -> bool:
+        """Does the view name this incarnation of ours?"""
         return (
             self.joined
             and self.view is not None
@@ -101,11 +104,14 @@
         return self.view is not None and self.node in self.view.detached
 
     def leader(self) -> bool:
+        """Do we lead, and may we act?"""
         return self.acting() and self.view is not None and self.view.leader == self.node
 
     def conditions(self) -> dict[str, int]:
-        """What every scheduling write is conditional on: a fenced or outvoted
-        controller's writes fail by themselves."""
+        """Conditions of every scheduling write.
+
+        A fenced or outvoted controller's writes fail by themselves.
+        """
         assert self.view is not None
         return {
             VIEW: self.view.version,
@@ -114,6 +120,7 @@
 
     # --- timers -----------------------------------------------------------
     def tick(self) -> None:
+        """Join, renew, and change the view if it is time to."""
         now = self.e.now
         if not self.e.loaded:
             return
@@ -127,9 +134,12 @@
         self._check_format()
 
     def _check_format(self) -> None:
-        """A newer format is used only once nobody can come back without it, and from then
-        on for ever: every node of the cluster, not just every member of the view, must
-        have been seen with it at the same moment. A node that is down may come back old."""
+        """Record that a newer format is in use, once nobody can come back without it.
+
+        From then on it is for ever: every node of the cluster, not just every member of the
+        view, must have been seen with it at the same moment. A node that is down may come back
+        old.
+        """
         replica = self.e.replica
         if (
             replica.format[1] >= NEWEST_FORMAT
@@ -213,8 +223,11 @@
         self.e.store("get", (VIEW,), Priority.LEASE, read)
 
     def _commit_join(self, old_version: int, old_lease: int | None) -> None:
-        """Takes the member key and a new view together. A predecessor on this
-        node is dead (a node runs one process), so its lease is not waited for."""
+        """Take the member key and a new view together.
+
+        A predecessor on this node is dead (a node runs one process), so its lease is not waited
+        for.
+        """
         view = self.view
         # Every member joins by writing the view, so the view just read names all;
         # taking them from the watch instead would shut out those it lags behind.
--- a/appledock/core/messages.py
+++ b/appledock/core/messages.py
@@ -27,8 +27,10 @@
 
 
 class AliveWorker(Struct, frozen=True, array_like=True):
-    """The number of a worker's last report, how long ago it came, and how long ago the
-    worker was last well."""
+    """The number of a worker's last report, and two ages.
+
+    How long ago the report came, and how long ago the worker was last well.
+    """
 
     worker: str
     session: int
--- a/appledock/core/pulse.py
+++ b/appledock/core/pulse.py
@@ -37,6 +37,7 @@
         """when we were last served, or knew that nobody is"""
 
     def tick(self) -> None:
+        """Tell the peers how we fare, if it is time to."""
         if not self._shut_out_now():
             self.fine_at = self.e.now
         if self.e.now >= self.next_at:
@@ -61,6 +62,7 @@
                 )
 
     def on_peer(self, message: Heartbeat) -> None:
+        """Note how a peer fares."""
         node = message.node
         self.heard[node] = (self.e.now, self.e.now - message.served_s)
         self.writes[node] = message.writes
@@ -112,13 +114,17 @@
         )
 
     def shut_out(self) -> bool:
-        """Are we the only ones that the state service does not serve? True as well
-        if we reach nobody: then the others probably go on without us."""
+        """Are we the only ones that the state service does not serve?
+
+        True as well if we reach nobody: then the others probably go on without us.
+        """
         return self.e.now - self.fine_at > c.SHUT_OUT_FOR_S
 
     def leader_lost(self) -> bool:
-        """Does the leader, and not the network between us all, fail? It says that
-        it is not served, or it alone is not heard."""
+        """Does the leader, and not the network between us all, fail?
+
+        It says that it is not served, or it alone is not heard.
+        """
         view = self.e.replica.view
         if view is None or self.works(view.leader):
             return False
--- a/appledock/core/workers/answers.py
+++ b/appledock/core/workers/answers.py
@@ -46,8 +46,10 @@
         self.engine.emit(Reply(request_id, 503, {"error": reason}))
 
     def _learn_without_authority(self, report: wire.Report) -> None:
-        """What we may not answer still tells which tasks are over, and which of
-        cancelled jobs are not."""
+        """Take in a report that we may not answer.
+
+        It still tells which tasks are over, and which of cancelled jobs are not.
+        """
         worker = self.workers.table.get(report.worker)
         if worker is not None and worker.report is not None:
             self.engine.workers.learn(report)
@@ -87,8 +89,11 @@
         self.engine.emit(Reply(request_id, 421, wire.Redirect(to)))
 
     def _count_misdirected(self, worker: Worker, owner: str, unanswered: bool) -> None:
-        """A worker that cannot reach its owner must not be sent round until its
-        lease ends: after some tries it is given to us by a new view."""
+        """Count the reports of a worker that cannot reach its owner.
+
+        It must not be sent round until its lease ends: after some tries it is given to us by a
+        new view.
+        """
         now = self.engine.now
         since, tries = worker.misdirected
         if now - since > 2 * c.OVERRIDE_AFTER_S or worker.heard_at > since + 2.0 > now - 2.0:
--- a/appledock/core/workers/commands.py
+++ b/appledock/core/workers/commands.py
@@ -65,7 +65,7 @@
         """The halt, if it is due, of a task that is there and should not be."""
         if known is None:
             return [wire.Command(wire.HALT, *key, grace_s=0.0)]
-        job, attempt = known
+        job, _ = known
         grace_s = 0.0
         if not job.cancelled:
             if entry.state == wire.SAVING:
--- a/appledock/core/workers/detachment.py
+++ b/appledock/core/workers/detachment.py
@@ -46,8 +46,10 @@
         return {owner: len(rows) for owner, rows in self.unanswered.items()}
 
     def reporting_share(self) -> float:
-        """Part of our workers, among those that anybody has heard of lately, that
-        reported to us."""
+        """Part of our workers that reported to us lately.
+
+        Counted among those that anybody has heard of.
+        """
         view, now = self.engine.replica.view, self.engine.now
         if view is None or self.engine.membership.detached():
             return 0.0
@@ -62,10 +64,13 @@
 
     # --- others -----------------------------------------------------------
     def _detach_others(self) -> None:
-        """A member that stands still, or that loses its workers but not the state
-        service, keeps its lease and owns a third of all workers, whose own leases
-        run out meanwhile. Once many of them have come here after waiting in vain,
-        a view in which it owns nothing moves them in one write, however many."""
+        """Find members that many workers wait for in vain.
+
+        One that stands still, or that loses its workers but not the state service, keeps its
+        lease and owns a third of all workers, whose own leases run out meanwhile. Once many of
+        them have come here after waiting in vain, a view in which it owns nothing moves them in
+        one write, however many.
+        """
         for owner in list(self.unanswered):
             self._forget_old(owner)
             if owner not in self.unanswered:
--- a/appledock/core/workers/gossip.py
+++ b/appledock/core/workers/gossip.py
@@ -47,8 +47,10 @@
             self._remind()
 
     def pass_on(self, worker: Worker) -> None:
-        """Tell the peers of a report. Whole reports go when they show something new,
-        else that they came is enough."""
+        """Tell the peers of a report.
+
+        Whole reports go when they show something new, else that they came is enough.
+        """
         report = worker.report
         if report is None:
             return
@@ -102,8 +104,10 @@
         return round(min(self.engine.now - at, c.AGE_MAX_S), 3)
 
     def _remind(self) -> None:
-        """Proofs of settlement are repeated while attempts wait for them: the
-        first message may have been lost with its link."""
+        """Repeat proofs of settlement while attempts wait for them.
+
+        The first message may have been lost with its link.
+        """
         waiting = self.engine.replica.by_machine
         gone = [machine for machine in waiting if machine in self.workers.gone]
         if gone:
--- a/appledock/core/workers/record.py
+++ b/appledock/core/workers/record.py
@@ -21,6 +21,9 @@
     seq: int
 
 
+NOTHING_SEEN = ReportNumber(0, 0)
+
+
 class Misdirected(NamedTuple):
     """Reports that came here although another controller owns the worker."""
 
@@ -41,7 +44,7 @@
     """when the last report reached us or a peer passed it on"""
     well_at: float = LONG_AGO
     """when a report last showed that our answers reach the worker"""
-    seen: ReportNumber = ReportNumber(0, 0)
+    seen: ReportNumber = NOTHING_SEEN
     """number of the newest report that anybody has seen"""
     first_term: int = 0
     """term when this controller first heard of the machine"""
--- a/appledock/core/workers/reports.py
+++ b/appledock/core/workers/reports.py
@@ -25,8 +25,10 @@
         self.workers = workers
 
     def learn(self, report: wire.Report, well_s: float | None = None) -> bool:
-        """Take the report in if it is newer than the one known. `well_s`: a peer
-        passed it on, and knows since when the worker was last well."""
+        """Take the report in if it is newer than the one known.
+
+        `well_s`: a peer passed it on, and knows since when the worker was last well.
+        """
         if report.worker in self.workers.gone:
             # Guards against copies of old reports: each brought a machine back that
             # nothing removes from the table, and the leader, most of whose machines
@@ -58,8 +60,10 @@
         return True
 
     def _note_times(self, worker: Worker, report: wire.Report, well_s: float | None) -> None:
-        """When the worker was heard, reached us and was well; `worker.report` is the
-        report before this one."""
+        """Note when the worker was heard, reached us and was well.
+
+        `worker.report` is still the report before this one.
+        """
         now, old = self.engine.now, worker.report
         if well_s is not None:
             worker.well_at = max(worker.well_at, now - well_s)
--- a/appledock/metrics.py
+++ b/appledock/metrics.py
@@ -18,6 +18,7 @@
         self.histograms: dict[str, HdrHistogram] = {}
 
     def took(self, name: str, seconds: float) -> None:
+        """Count a duration under this name."""
         histogram = self.histograms.get(name)
         if histogram is None:
             histogram = self.histograms[name] = HdrHistogram(1, c.LATENCY_MAX_US, c.LATENCY_DIGITS)
--- a/appledock/net/http.py
+++ b/appledock/net/http.py
@@ -55,6 +55,7 @@
 
     # asyncio.Protocol
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio: the connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         if len(self.server.connections) >= self.server.limit:
@@ -62,11 +63,13 @@
             return
         self.server.connections.add(self)
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Called by asyncio: the connection is closed."""
         self.transport = None
         self.server.connections.discard(self)
 
     def data_received(self, data: bytes) -> None:
+        """Called by asyncio with what has come."""
         if self.closing:
             return
         self.touched = self.server.loop.time()
@@ -87,14 +90,17 @@
 
     # httptools callbacks
     def on_message_begin(self) -> None:
+        """Called by the parser: a message begins."""
         self._reset()
         self.receiving = True
 
     def on_url(self, url: bytes) -> None:
+        """Called by the parser with a part of the target."""
         self.url += url
         self._grow_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser with one header."""
         self._grow_head(len(name) + len(value))
         if name.lower() == b"content-length" and int(value) > c.BODY_MAX:
             raise _TooLarge(400, f"body over {c.BODY_MAX} bytes")
@@ -105,11 +111,13 @@
             raise _TooLarge(431, "request head too large")
 
     def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of the body."""
         self.body += body
         if len(self.body) > c.BODY_MAX:
             raise _TooLarge(400, f"body over {c.BODY_MAX} bytes")
 
     def on_message_complete(self) -> None:
+        """Called by the parser: the message is whole."""
         method = self.parser.get_method().decode("ascii", "replace")
         path, _, query = self.url.decode("ascii").partition("?")
         if path.startswith("http://"):  # absolute form
@@ -190,6 +198,7 @@
         self.listener: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> int:
+        """Listen; the port, which the system chooses if 0 is given."""
         self.listener = await self.loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=512, reuse_address=True
         )
@@ -203,6 +212,7 @@
         self.timer = self.loop.call_later(c.SLOW_PEER_S / 4, self._sweep)
 
     def close(self) -> None:
+        """Close the connections."""
         self.timer.cancel()
         if self.listener is not None:
             self.listener.close()
@@ -229,27 +239,33 @@
         self.future: asyncio.Future[tuple[int, bytes]] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio: the connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Called by asyncio: the connection is closed."""
         self.transport = None
         if self.future is not None and not self.future.done():
             self.future.set_exception(NoAnswer("connection lost"))
 
     def data_received(self, data: bytes) -> None:
+        """Called by asyncio with what has come."""
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.close()
 
     def on_message_begin(self) -> None:
+        """Called by the parser: a message begins."""
         self.body = bytearray()
 
     def on_body(self, body: bytes) -> None:
+        """Called by the parser with a part of the body."""
         self.body += body
 
     def on_message_complete(self) -> None:
+        """Called by the parser: the message is whole."""
         status = self.parser.get_status_code()
         if status < 200:
             return
@@ -259,6 +275,7 @@
             self.future.set_result((status, bytes(self.body)))
 
     def close(self) -> None:
+        """Close the connections."""
         if self.transport is not None:
             self.transport.abort()
             self.transport = None
@@ -338,8 +355,10 @@
         return result
 
     def close(self) -> None:
-        """Connections in use are closed once they are free: a pool put aside during a
-        call would keep its socket for ever."""
+        """Close the pool; connections in use are closed once they are free.
+
+        A pool put aside during a call would keep its socket for ever.
+        """
         self.closed = True
         for connection in self.idle:
             connection.close()
--- a/appledock/net/peers.py
+++ b/appledock/net/peers.py
@@ -30,6 +30,7 @@
         self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
+        """Take in bytes; the payloads that are whole now."""
         self.buffer += data
         payloads = []
         start = 0
@@ -65,22 +66,28 @@
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio: the connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Called by asyncio with what has come."""
         try:
             for payload in self.deframer.feed(data):
-                message = msgspec.json.decode(payload)
-                if not isinstance(message, dict):
-                    raise Malformed("not an object")
-                self.deliver(message)
+                self.deliver(_decode(payload))
         except (Malformed, msgspec.DecodeError, UnicodeDecodeError) as error:
             log.warning("malformed message from a peer: %s", error)
             if self.transport is not None:
                 self.transport.abort()
 
 
+def _decode(payload: bytes) -> dict[str, Any]:
+    message = msgspec.json.decode(payload)
+    if not isinstance(message, dict):
+        raise Malformed("not an object")
+    return message
+
+
 class PeerLink(asyncio.Protocol):
     """Sending end of a link; dials again for ever."""
 
@@ -91,6 +98,7 @@
         self.transport: asyncio.Transport | None = None
 
     async def run(self) -> None:
+        """Keep the link open, for ever."""
         while True:
             if self.transport is None:
                 try:
@@ -103,14 +111,17 @@
             await asyncio.sleep(c.PEER_RETRY_S)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio: the connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.opened(self.name)
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Called by asyncio: the connection is closed."""
         self.transport = None
 
     def send(self, payload: bytes) -> None:
+        """Write to the peer, if the link is open."""
         if self.transport is None:
             return
         if self.transport.get_write_buffer_size() > c.PEER_BUFFER_MAX:
--- a/appledock/settings.py
+++ b/appledock/settings.py
@@ -20,17 +20,23 @@
 
 
 class Peer(Struct, frozen=True):
+    """Another controller."""
+
     name: Name = msgspec.field(name="node_name")
     address: Address = msgspec.field(name="endpoint")
     zone: str = msgspec.field(name="location", default="")
 
 
 class External(Struct, frozen=True):
+    """Addresses of the outside systems."""
+
     cloud: Address
     state: Address
 
 
 class Team(Struct, frozen=True):
+    """A team's guarantees and limits."""
+
     name: Name
     cpus: NonNegative
     cpus_max: NonNegative
@@ -39,6 +45,8 @@
 
 
 class Objective(Struct, frozen=True):
+    """What the platform is judged by."""
+
     kind: str
     job_class: str | None = msgspec.field(name="class", default=None)
     within_s: float | None = None
@@ -47,6 +55,8 @@
 
 
 class Workers(Struct, frozen=True):
+    """Times that workers keep to."""
+
     report_s: Positive
     lease_s: Positive
     cancel_s: Positive
@@ -62,8 +72,11 @@
 
 
 class State(Struct, frozen=True):
-    """Limits of the state service. Announced ones hold from some moment on without
-    notice, so of each two the smaller one is kept to from the start (see `parse`)."""
+    """Limits of the state service.
+
+    Announced ones hold from some moment on without notice, so of each two the smaller one is
+    kept to from the start (see `parse`).
+    """
 
     rps: Positive
     write_rps: Positive
@@ -86,17 +99,23 @@
 
 
 class Cloud(Struct, frozen=True):
+    """Limits of the cloud."""
+
     rps: Positive
     list_lag_s: NonNegative
 
 
 class Limits(Struct, frozen=True):
+    """What one controller may use of its machine."""
+
     core_share: Positive = 1.0
     ram_mb: Positive = 1024.0
     fd_limit: Annotated[int, Meta(ge=150)] = 1024
 
 
 class Cluster(Struct, frozen=True):
+    """What is the same for all controllers."""
+
     size: Count
     teams: list[Team]
     workers: Workers
@@ -109,6 +128,8 @@
 
 
 class Settings(Struct, frozen=True):
+    """One controller's settings."""
+
     name: Name = msgspec.field(name="node_name")
     listen: Address = msgspec.field(name="public_addr")
     peer_listen: Address = msgspec.field(name="back")
--- a/appledock/wire.py
+++ b/appledock/wire.py
@@ -73,22 +73,29 @@
 
     @property
     def service(self) -> bool:
+        """Does it run until it is cancelled?"""
         return self.kind == SERVICE
 
     @property
     def gang(self) -> bool:
-        """Starts whole or not at all. A service in one zone of which at most half may be
-        in one zone can't be whole, and runs as far as it may."""
+        """Does it start whole or not at all?
+
+        A service in one zone of which at most half may be in one zone can't be whole, and runs
+        as far as it may.
+        """
         return self.kind == GANG or (
             self.service and self.one_zone and not self.spread and self.tasks > 1
         )
 
     @property
     def rank(self) -> int:
+        """Its priority as a number: the higher comes first."""
         return RANKS[self.priority]
 
 
 class JobState(Struct, omit_defaults=True):
+    """Answer to a poll."""
+
     id: str
     state: str = field(name="status")
     done: int | None = None
@@ -96,6 +103,8 @@
 
 
 class TaskReport(Struct, frozen=True):
+    """One task in a report."""
+
     task: str = field(name="crate")
     attempt: Unsigned = field(name="try")
     state: str = field(name="status")
@@ -109,6 +118,8 @@
 
 
 class Report(Struct, frozen=True):
+    """A worker's report."""
+
     worker: Text = field(name="dockhand")
     addr: Text
     type: Text = field(name="hull")
@@ -122,6 +133,8 @@
 
 
 class Command(Struct, frozen=True, omit_defaults=True):
+    """What a worker shall do with one task."""
+
     op: str = field(name="verb")
     task: str = field(name="crate")
     attempt: int = field(name="try")
@@ -129,21 +142,29 @@
 
 
 class ReportAnswer(Struct):
+    """The owner's answer to a report."""
+
     token: int = field(name="warrant")
     commands: list[Command] = field(name="orders")
 
 
 class Orders(Struct):
+    """Commands sent straight to a worker."""
+
     token: int = field(name="warrant")
     session: int = field(name="shift")
     commands: list[Command] = field(name="orders")
 
 
 class Redirect(Struct, omit_defaults=True):
+    """Where a worker shall report instead."""
+
     report_to: str | None = field(name="harbormaster", default=None)
 
 
 class MachineType(Struct, frozen=True):
+    """What the cloud offers."""
+
     name: Text
     cpus: Amount = field(name="cores")
     memory_gb: Amount
@@ -157,10 +178,14 @@
 
 
 class MachineTypes(Struct):
+    """All that the cloud offers."""
+
     types: list[MachineType] = field(name="hulls")
 
 
 class Machine(Struct, frozen=True):
+    """One row of the machine list."""
+
     id: Text
     type: str = field(name="hull")
     zone: str = field(name="quay")
@@ -171,11 +196,15 @@
 
 
 class MachineList(Struct):
+    """One page of the machine list."""
+
     machines: list[Machine] = field(name="dockhands")
     more: bool = field(name="has_next", default=False)
 
 
 class Rent(Struct):
+    """A rental request."""
+
     request: str = field(name="charter")
     type: str = field(name="hull")
     zone: str = field(name="quay")
@@ -184,10 +213,14 @@
 
 
 class Rented(Struct):
+    """Machines by name: rented, or to be deleted."""
+
     machines: list[str] = field(name="dockhands")
 
 
 class Row(Struct, frozen=True):
+    """One key of the state service."""
+
     key: str
     value: Any = field(name="data")
     version: int = field(name="stamp")
@@ -195,12 +228,16 @@
 
 
 class Rows(Struct):
+    """One page of keys."""
+
     items: list[Row] = field(name="rows")
     revision: int = field(name="ledger")
     more: bool = field(name="has_next", default=False)
 
 
 class Event(Struct, frozen=True):
+    """One change that the watch shows."""
+
     version: int = field(name="stamp")
     put: str | None = field(name="set", default=None)
     delete: str | None = field(name="drop", default=None)
@@ -208,16 +245,22 @@
 
 
 class Watched(Struct):
+    """What the watch shows."""
+
     revision: int = field(name="ledger")
     events: list[Event] = field(name="events", default=[])
 
 
 class Condition(Struct, frozen=True):
+    """The version that a key must have; 0: it must not exist."""
+
     key: str
     version: int = field(name="stamp")
 
 
 class Write(Struct, frozen=True, omit_defaults=True):
+    """One write of a transaction."""
+
     put: str | UnsetType = field(name="set", default=UNSET)
     value: Any = field(name="data", default=UNSET)
     lease: int | UnsetType = field(name="permit", default=UNSET)
@@ -225,53 +268,71 @@
 
 
 class Txn(Struct):
+    """A conditional transaction."""
+
     conditions: list[Condition] = field(name="if")
     writes: list[Write] = field(name="writes")
 
 
 class Committed(Struct):
+    """A transaction was executed."""
+
     revision: int = field(name="ledger")
 
 
 class Conflict(Struct):
+    """A transaction was not executed: keys whose condition failed."""
+
     failed: list[str]
     revision: int = field(name="ledger", default=0)
 
 
 class Missing(Struct):
+    """There is no such key."""
+
     revision: int = field(name="ledger", default=0)
 
 
 class GrantRequest(Struct):
+    """A lease asked for."""
+
     ttl_ms: int = field(name="life_ms")
 
 
 class Grant(Struct):
+    """A lease given."""
+
     lease: int = field(name="permit")
 
 
 def path_of_key(key: str) -> str:
+    """Path of one key."""
     return f"/keys/{key}"
 
 
 def path_of_list(prefix: str, after: str | None, limit: int) -> str:
+    """Path of a page of keys."""
     since = f"&since={after}" if after else ""
     return f"/keys?under={prefix}{since}&limit={limit}"
 
 
 def path_of_watch(prefix: str, after: int, wait_ms: int) -> str:
+    """Path of the watch."""
     return f"/follow?under={prefix}&since={after}&block_ms={wait_ms}"
 
 
 def path_of_touch(lease: int) -> str:
+    """Path of a lease's renewal."""
     return f"/grants/{lease}/touch"
 
 
 def path_of_grant(lease: int | None = None) -> str:
+    """Path of the leases, or of one."""
     return "/grants" if lease is None else f"/grants/{lease}"
 
 
 def path_of_machines(after: str | None, limit: int) -> str:
+    """Path of a page of the machine list."""
     since = f"since={after}&" if after else ""
     return f"{PATH_MACHINES}?{since}limit={limit}"
 
--- a/tests/standins/clock.py
+++ b/tests/standins/clock.py
@@ -31,7 +31,7 @@
     def __init__(self, seed: int) -> None:
         self.now = 0.0
         self.rng = random.Random(seed)
-        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.heap: list[tuple[float, int, Callable[[], object]]] = []
         self.count = 0
         self.cuts: list[Cut] = []
         self.slow: list[tuple[set[str], float, float]] = []
@@ -39,11 +39,11 @@
         self.links: dict[tuple[str, str], float] = {}
         """when the last message of a link arrives: they stay in order"""
 
-    def at(self, time: float, action: Callable[[], None]) -> None:
+    def at(self, time: float, action: Callable[[], object]) -> None:
         self.count += 1
         heapq.heappush(self.heap, (max(time, self.now), self.count, action))
 
-    def after(self, delay: float, action: Callable[[], None]) -> None:
+    def after(self, delay: float, action: Callable[[], object]) -> None:
         self.at(self.now + delay, action)
 
     def run(self, until: float) -> None:
@@ -67,7 +67,7 @@
         found = [cut for cut in self.cuts if cut.parts(a, b)]
         return max(found, key=lambda cut: cut.until) if found else None
 
-    def send(self, a: str, b: str, action: Callable[[], None], link: bool = False) -> None:
+    def send(self, a: str, b: str, action: Callable[[], object], link: bool = False) -> None:
         """A message on an open connection; held ones arrive late, in order. `link`: on
         the one connection that the two keep open."""
         cut = self.parted(a, b)
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from appledock.core.engine import Engine
@@ -88,7 +89,7 @@
         service = rng.random() < 0.55
         job = body(world, number, service)
         cancel = 60 + rng.expovariate(1 / 150) if service else None
-        world.clock.at(due, lambda j=job, x=cancel: world.submit(j, x))
+        world.clock.at(due, partial(world.submit, job, cancel))
         due += rng.expovariate((2.6 if due < 20 else 0.65) * scale)
     world.clock.at(50.0, lambda: world.nodes["n1"].crash(0.3))
     world.clock.run(float(SECONDS))
--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from tests.standins.clock import Clock
@@ -312,7 +313,7 @@
             if count <= 0:
                 answer(503, {"error": "no capacity"})
                 return
-            names = []
+            names: list[str] = []
             for _ in range(count):
                 name = f"vm-{self.clock.count:06d}{len(names):02d}"
                 names.append(name)
@@ -326,7 +327,7 @@
                     "status": "starting",
                     "born": self.clock.now,
                 }
-                self.clock.after(3 + 4 * self.clock.rng.random(), lambda name=name: self._up(name))
+                self.clock.after(3 + 4 * self.clock.rng.random(), partial(self._up, name))
             self.rentals[request["charter"]] = names
         answer(200, {"dockhands": self.rentals[request["charter"]]})
 
--- a/tests/standins/sockets.py
+++ b/tests/standins/sockets.py
@@ -28,14 +28,14 @@
         self.loop = loop
 
     @property
-    def now(self) -> float:  # type: ignore[override]
-        return getattr(self, "loop", None) and self.loop.time() or 0.0
+    def now(self) -> float:
+        return self.loop.time() if hasattr(self, "loop") else 0.0
 
     @now.setter
     def now(self, value: float) -> None:
         pass
 
-    def at(self, at: float, action: Callable[[], None]) -> None:
+    def at(self, at: float, action: Callable[[], object]) -> None:
         self.count += 1
         self.loop.call_at(at, action)
 
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -215,12 +216,11 @@
                 data = code.wire.encode(effect.message)
                 for peer in self.world.names:
                     if peer != self.name and effect.to in (None, peer):
-                        self.clock.send(
-                            self.name,
-                            peer,
-                            lambda peer=peer: self.world.nodes[peer].receive(json.loads(data)),
-                            link=True,
-                        )
+                        deliver = partial(self._deliver, peer, data)
+                        self.clock.send(self.name, peer, deliver, link=True)
+
+    def _deliver(self, peer: str, data: bytes) -> None:
+        self.world.nodes[peer].receive(json.loads(data))
 
     def receive(self, message: dict[str, Any]) -> None:
         if self.up:
@@ -367,7 +367,8 @@
 
     def _look(self) -> None:
         self.judge.look(self.cloud.workers.values())
-        leader = self.view().members[self.leader()] if self.view() else ""
+        view = self.view()
+        leader = view.members[self.leader()] if view else ""
         if leader and (not self.leaders or self.leaders[-1][1] != leader):
             self.leaders.append((self.clock.now, leader))
         self.clock.after(0.5, self._look)
@@ -464,7 +465,7 @@
             node.crash(away_s)
 
         for place, node in enumerate(self.nodes.values()):
-            self.clock.after(place * every_s, lambda node=node: one(node))
+            self.clock.after(place * every_s, partial(one, node))
 
     def refuse_peers(self, seconds: float) -> None:
         """Connections between controllers are refused; then they are opened anew."""
@@ -548,7 +549,7 @@
         jobs = sorted(running)[:count]
         self.called_off.update(jobs)
         for job in jobs:
-            self.clock.after(0.2 * self.clock.rng.random(), lambda job=job: self.cancel(job))
+            self.clock.after(0.2 * self.clock.rng.random(), partial(self.cancel, job))
         if hang_s:
             for name in sorted({name for job in jobs for name in running[job]})[:8]:
                 self.cloud.workers[name].hang(hang_s)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -27,7 +28,7 @@
     return answer
 
 
-def serve(body):  # type: ignore[no-untyped-def]
+def serve(body: Callable[[int], Awaitable[None]]) -> None:
     async def start() -> None:
         server = Server(handler, 100)
         port = await server.start("127.0.0.1", 0)
