--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -160,7 +160,7 @@
 """tasks; size of a step, the design's starting value."""
 PROGRESS_EVERY_S = 2.5
 PROGRESS_RELAXED_S = 6.0
-PROGRESS_CROWDED_S = 12.0
+PROGRESS_CROWDED_S = 30.0
 """s; finished tasks are recorded this often if no step of the job is due anyway: while
 the team's limit is what jobs wait for, usually, and while steps wait for their writes.
 Only the charge of a team's limit waits for it: room counts as free by the reports, and
--- a/appledock/core/fleet/demand.py
+++ b/appledock/core/fleet/demand.py
@@ -19,8 +19,10 @@
 
 
 def queued_demand(engine: Engine) -> list[Demand]:
-    """Queued tasks that their teams' limits admit, most urgent first, and then those of
-    jobs that will be ready soon."""
+    """Tasks that their teams' limits admit, the most urgent first.
+
+    Those of jobs that will be ready soon come after all that is queued.
+    """
     held: dict[str, quota.Amounts] = {}
     result = []
     queued = _most_urgent_first(engine)
--- a/appledock/core/fleet/returns.py
+++ b/appledock/core/fleet/returns.py
@@ -118,9 +118,11 @@
         )
 
     def _reserve_for_upcoming(self, demand: list[Demand]) -> None:
-        """Idle machines are kept for jobs that will be ready soon, but no more of them
-        than those need: kept for any of them, nearly every idle machine stayed. Those whose
-        least charge is not used up stay anyway, and serve first."""
+        """Keep idle machines for jobs that will be ready soon, no more than those need.
+
+        Kept for any such job, nearly every idle machine stayed. Those whose least charge is
+        not used up stay anyway, and serve first.
+        """
         self.upcoming = [
             UpcomingTasks(item.job.spec, item.tasks) for item in demand if not item.ready
         ]
@@ -188,8 +190,11 @@
             self.delete(due[: c.DELETE_MAX])
 
     def _well_again(self, name: str, item: Returning) -> bool:
-        """Guards against an outage of the cloud: the machine is well again, with
-        all that runs on it, when the deletion could go out at last."""
+        """Has the machine been heard of since it was to be deleted as silent?
+
+        Guards against an outage of the cloud: the machine is well again, with all that runs on
+        it, when the deletion could go out at last.
+        """
         worker = self.engine.workers.table.get(name)
         return (
             item.why in ENDED_BY_A_REPORT
--- a/appledock/core/forecast.py
+++ b/appledock/core/forecast.py
@@ -37,9 +37,11 @@
         return sorted(found, key=lambda job: (self.engine.steps.urgency(job), job.id))
 
     def _worthwhile(self, job: Job) -> bool:
-        """Does anybody gain if the job starts a boot time sooner? A machine that waits
-        costs money, so there must be a deadline behind the job or an objective for its
-        wait. It must also be possible still to meet that deadline."""
+        """Does anybody gain if the job starts a boot time sooner?
+
+        A machine that waits costs money, so there must be a deadline behind the job that
+        can still be met, or an objective for its wait.
+        """
         _, end = self.engine.replica.needs.pressing(job)
         waits = self.engine.aims.limits_wait(job.spec)
         has_deadline = end < job.submitted + c.NO_DEADLINE_S
@@ -54,12 +56,14 @@
         return bool(boots) and self.ready_in(job) <= min(boots) * c.AHEAD_SHARE
 
     def ready_in(self, job: Job) -> float:
-        """s until all jobs that it needs are done; infinite if that cannot be told, or if
-        one of them waits itself."""
+        """Seconds until all jobs that it needs are done.
+
+        Infinite if that cannot be told, or if one of them waits itself.
+        """
         return max(map(self._over_in, self.engine.replica.needs.left(job.id)), default=0.0)
 
     def _over_in(self, job_id: str) -> float:
-        """s until an open job is over, by its owner's estimate."""
+        """Seconds until an open job is over, by its owner's estimate."""
         job = self.engine.replica.jobs.get(job_id)
         if job is None or job.spec.service or job_id in self.engine.replica.needs.waiting:
             return math.inf
@@ -84,6 +88,8 @@
 
 
 def left_by_estimate_s(spec: wire.JobSpec, ran_s: float) -> float:
-    """How long a task that has run for `ran_s` may still run: past its estimate it may
-    take as long again as it is late."""
+    """How long a task that has run for `ran_s` may still run.
+
+    Past its estimate it may take as long again as it is late.
+    """
     return abs(spec.estimate_s - ran_s)
--- a/appledock/core/settlement.py
+++ b/appledock/core/settlement.py
@@ -48,8 +48,10 @@
         self._settled.pop(job_id, None)
 
     def settled(self, job: Job) -> Job | None:
-        """The job without its settled attempts, not to be changed by the caller; None if
-        no attempt is settled."""
+        """The job without its settled attempts; None if no attempt is settled.
+
+        The result is shared: callers do not change it.
+        """
         verdicts = self._examine(job)
         if not verdicts:
             return None
--- a/tests/standins/golden.py
+++ b/tests/standins/golden.py
@@ -7,7 +7,7 @@
 import json
 import re
 import sys
-from functools import cache
+from functools import cache, partial
 from pathlib import Path
 from typing import Any
 
@@ -51,14 +51,14 @@
         one = world.spec(number)
         clock.at(
             0.5 + rng.random() * 40,
-            lambda one=one, x=number % 3 == 0: world.submit(one, 15.0 if x else None),
+            partial(world.submit, one, None if number % 3 else 15.0),
         )
     for number in range(20, 24):
         one = {**world.spec(number), "shape": "batch", "rank": "best_effort", "crates": 16}
         one.update(run_s=40.0, together=False, scatter=False, standby=True, quay=None, cores=1.0)
-        clock.at(1.0, lambda one=one: world.submit(one))
+        clock.at(1.0, partial(world.submit, one))
         high = {**one, "id": f"job-{number + 10:06d}", "rank": "urgent", "crates": 6, "run_s": 5.0}
-        clock.at(30.0, lambda one=high: world.submit(one))
+        clock.at(30.0, partial(world.submit, high))
     clock.at(
         10.0,
         lambda: operate(
@@ -66,11 +66,12 @@
         ),
     )
     for time, action in ((20.0, "cordon"), (24.0, "uncordon"), (28.0, "drain")):
-        clock.at(time, lambda action=action: operate_first(world, action))
+        clock.at(time, partial(operate_first, world, action))
     clock.at(35.0, lambda: world.cloud.kill(sorted(world.cloud.workers)[1]))
     clock.at(40.0, lambda: world.nodes["n1"].crash(1.0))
     clock.at(45.0, lambda: _cut_off(world))
-    clock.at(75.0, lambda: [node.crash(3.0) for node in world.nodes.values()])
+    for node in world.nodes.values():
+        clock.at(75.0, partial(node.crash, 3.0))
     if code is not production():
         clock.at(12.0, lambda: pipeline(world, 1))
     clock.run(110.0)
--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from appledock.core.engine import Engine
@@ -140,17 +141,14 @@
     if chains:
         world.clock.at(20.0, lambda: world.state.lower(**worlds.NEXT))
         for number in range(int(SECONDS / PIPELINE_EVERY_S) - 1):
-            world.clock.at(
-                5.0 + number * PIPELINE_EVERY_S,
-                lambda number=number: submit_pipeline(world, number),
-            )
+            world.clock.at(5.0 + number * PIPELINE_EVERY_S, partial(submit_pipeline, world, number))
     rng, due, number = world.clock.rng, 0.5, 0
     while due < SECONDS:
         number += 1
         service = rng.random() < 0.55
         job = body(world, number, service)
         cancel = 60 + rng.expovariate(1 / 150) if service else None
-        world.clock.at(due, lambda j=job, x=cancel: world.submit(j, x))
+        world.clock.at(due, partial(world.submit, job, cancel))
         due += rng.expovariate((2.6 if due < 20 else 0.65) * (0.7 if chains else scale))
     world.clock.at(50.0, lambda: world.nodes["n1"].crash(0.3))
     world.clock.run(float(SECONDS))
--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from tests.standins.clock import Clock
@@ -315,7 +316,7 @@
             if count <= 0:
                 answer(503, {"error": "no capacity"})
                 return
-            names = []
+            names: list[str] = []
             for _ in range(count):
                 name = f"vm-{self.clock.count:06d}{len(names):02d}"
                 names.append(name)
@@ -331,10 +332,8 @@
                     "born": self.clock.now,
                 }
                 least, most = self.boot_s
-                self.clock.after(
-                    least + (most - least) * self.clock.rng.random(),
-                    lambda name=name: self._up(name),
-                )
+                boot_s = least + (most - least) * self.clock.rng.random()
+                self.clock.after(boot_s, partial(self._up, name))
             self.rentals[request["charter"]] = names
         answer(200, {"dockhands": self.rentals[request["charter"]]})
 
--- a/tests/standins/state.py
+++ b/tests/standins/state.py
@@ -111,9 +111,9 @@
     def slow(self, seconds: float, delay: float) -> None:
         self.slow_until, self.slow_s = self.clock.now + seconds, delay
 
-    def lower(self, value_kb: float, txn_ops: int, write_rps: float) -> None:
+    def lower(self, value_kb: float, txn_ops: float, write_rps: float) -> None:
         """The limits of `state.next` hold from now on."""
-        self.value_kb, self.txn_ops, self.write_rps = value_kb, txn_ops, write_rps
+        self.value_kb, self.txn_ops, self.write_rps = value_kb, int(txn_ops), write_rps
 
     def outage(self, seconds: float) -> None:
         self.out_until = self.clock.now + seconds
--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -19,7 +19,7 @@
 from functools import cache
 from pathlib import Path
 from types import ModuleType
-from typing import Any
+from typing import Any, ClassVar
 
 ROOT = Path(__file__).parents[2]
 SERVED = "145af75fd13d081803f0788ac576e1481599394e"
@@ -30,7 +30,7 @@
     """The modules of one version that a simulated controller is made of, under the names
     that they have in the production version and in the served head."""
 
-    MODULES = {
+    MODULES: ClassVar[dict[str, str]] = {
         "constants": "constants",
         "wire": "wire",
         "settings": "settings",
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -236,12 +237,11 @@
                 data = code.wire.encode(effect.message)
                 for peer in self.world.names:
                     if peer != self.name and effect.to in (None, peer):
-                        self.clock.send(
-                            self.name,
-                            peer,
-                            lambda peer=peer: self.world.nodes[peer].receive(json.loads(data)),
-                            link=True,
-                        )
+                        deliver = partial(self._deliver, peer, data)
+                        self.clock.send(self.name, peer, deliver, link=True)
+
+    def _deliver(self, peer: str, data: bytes) -> None:
+        self.world.nodes[peer].receive(json.loads(data))
 
     def receive(self, message: dict[str, Any]) -> None:
         if self.up:
@@ -428,7 +428,8 @@
 
     def _look(self) -> None:
         self.judge.look(self.cloud.workers.values())
-        leader = self.view().members[self.leader()] if self.view() else ""
+        view = self.view()
+        leader = view.members[self.leader()] if view else ""
         if leader and (not self.leaders or self.leaders[-1][1] != leader):
             self.leaders.append((self.clock.now, leader))
         self.clock.after(0.5, self._look)
@@ -554,7 +555,7 @@
             node.crash(away_s)
 
         for place, node in enumerate(self.nodes.values()):
-            self.clock.after(place * every_s, lambda node=node: one(node))
+            self.clock.after(place * every_s, partial(one, node))
 
     def refuse_peers(self, seconds: float) -> None:
         """Connections between controllers are refused; then they are opened anew."""
@@ -652,7 +653,7 @@
         jobs = sorted(running)[:count]
         self.called_off.update(jobs)
         for job in jobs:
-            self.clock.after(0.2 * self.clock.rng.random(), lambda job=job: self.cancel(job))
+            self.clock.after(0.2 * self.clock.rng.random(), partial(self.cancel, job))
         if hang_s:
             for name in sorted({name for job in jobs for name in running[job]})[:8]:
                 self.cloud.workers[name].hang(hang_s)
@@ -670,11 +671,11 @@
             for delay in LOOKS_S:
                 self.clock.after(
                     delay + 0.001 * rng.random(),
-                    lambda name=name: self._ask(job, "GET", f"/v2/runs/{job}", b"", (), None, name),
+                    partial(self._ask, job, "GET", f"/v2/runs/{job}", b"", (), None, name),
                 )
             self.clock.after(
                 0.02 * rng.random(),
-                lambda name=name: self._ask(job, "POST", "/v2/runs", body, (200, 201), None, name),
+                partial(self._ask, job, "POST", "/v2/runs", body, (200, 201), None, name),
             )
         if after == "accepted" and rng.random() < CANCEL_AT_ONCE:
             self.cancel(job)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from appledock import constants as c
@@ -27,7 +29,9 @@
     world = World(seed, capacity=30)
     original = chains.spec
 
-    def spec(world: World, job: str, job_class: str, needs: list[str], last: bool):  # type: ignore[no-untyped-def]
+    def spec(
+        world: World, job: str, job_class: str, needs: list[str], last: bool
+    ) -> dict[str, Any]:
         body = original(world, job, job_class, needs, last)
         body.update(crates=20 if job_class == "wide" else 1, owner="red", run_s=RUN_S, eta_s=RUN_S)
         body["sail_s"] = deadline_s if last else None
