--- a/appledock/adapters/users.py
+++ b/appledock/adapters/users.py
@@ -27,17 +27,17 @@
         self.status, self.error, self.headers = status, error, headers
 
 
-def command(ask: int, method: str, path: str, body: bytes) -> ev.Cmd:
+def command(request_id: int, method: str, path: str, body: bytes) -> ev.Cmd:
     """The command that a request stands for; raises Refused."""
     if path == wire.PATH_REPORT:
         _only(method, "POST")
-        return ev.Reported(ask, _decode(_REPORT, body))
+        return ev.Reported(request_id, _decode(_REPORT, body))
     if path == wire.PATH_HEALTH:
         _only(method, "GET")
-        return ev.Health(ask)
+        return ev.Health(request_id)
     if path == wire.PATH_JOBS:
         _only(method, "POST")
-        return ev.Submit(ask, _submission(_decode(_SPEC, body)))
+        return ev.Submit(request_id, _submission(_decode(_SPEC, body)))
     if path.startswith(wire.PATH_JOBS + "/"):
         rest = path[len(wire.PATH_JOBS) + 1 :]
         job, slash, action = rest.partition("/")
@@ -46,7 +46,7 @@
         _only(method, "POST" if slash else "GET")
         if not _ID.match(job):
             raise Refused(404, "no such job")
-        return ev.Cancel(ask, job) if slash else ev.Poll(ask, job)
+        return ev.Cancel(request_id, job) if slash else ev.Poll(request_id, job)
     if path.startswith(ADMIN):
         payload: Any = None
         if body:
@@ -54,7 +54,9 @@
                 payload = msgspec.json.decode(body)
             except MALFORMED as error:
                 raise Refused(400, f"not JSON: {error}") from None
-        return ev.Admin(ask, method, tuple(path[len(ADMIN) :].strip("/").split("/")), payload)
+        return ev.Admin(
+            request_id, method, tuple(path[len(ADMIN) :].strip("/").split("/")), payload
+        )
     raise Refused(404, "no such path")
 
 
--- a/appledock/app.py
+++ b/appledock/app.py
@@ -40,9 +40,10 @@
         self.scheduled = False
         self.next_batch = 0.0
         self.answers: dict[int, Answer] = {}
-        self.sent: dict[int, tuple[str, float]] = {}
+        self.started: dict[int, tuple[str, float]] = {}
+        """request -> its kind and when it came, for the metrics"""
         self.metrics = Metrics()
-        self.asked = 0
+        self.last_request_id = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.store = Store(*split_address(settings.external.state))
         self.cloud = Cloud(*split_address(settings.external.cloud))
@@ -55,7 +56,7 @@
             )
             for peer in settings.peers
         }
-        self.said: dict[str, list[bytes]] = {name: [] for name in self.links}
+        self.outgoing: dict[str, list[bytes]] = {name: [] for name in self.links}
         """peer -> messages of the present batch"""
 
     async def run(self) -> None:
@@ -102,13 +103,13 @@
         for effect in effects:
             self._carry_out(effect)
         # One write for all that a batch says to a peer: each costs a system call.
-        for name, payloads in self.said.items():
+        for name, payloads in self.outgoing.items():
             if payloads:
                 self.links[name].send(b"".join(payloads))
                 payloads.clear()
 
     def _request(self, method: str, path: str, _query: str, body: bytes, answer: Answer) -> None:
-        self.asked += 1
+        self.last_request_id += 1
         if path == users.ADMIN + "metrics" and method == "GET":
             answer(
                 200,
@@ -123,12 +124,12 @@
             )
             return
         try:
-            command = users.command(self.asked, method, path, body)
+            command = users.command(self.last_request_id, method, path, body)
         except users.Refused as refused:
             answer(refused.status, wire.encode({"error": refused.error}), refused.headers)
             return
-        self.answers[self.asked] = answer
-        self.sent[self.asked] = (type(command).__name__.lower(), self.loop.time())
+        self.answers[self.last_request_id] = answer
+        self.started[self.last_request_id] = (type(command).__name__.lower(), self.loop.time())
         self.push(command)
 
     def _carry_out(self, effect: ev.Effect) -> None:
@@ -136,7 +137,7 @@
             case ev.Reply():
                 answer = self.answers.pop(effect.ask, None)
                 if answer is not None:
-                    kind, since = self.sent.pop(effect.ask)
+                    kind, since = self.started.pop(effect.ask)
                     self.metrics.took(f"request.{kind}", self.loop.time() - since)
                     answer(effect.status, wire.encode(effect.body), effect.headers)
             case ev.StoreCall():
@@ -147,7 +148,7 @@
                 self._spawn(self._worker(effect))
             case ev.PeerSend():
                 payload = frame(wire.encode(effect.message))
-                for name, payloads in self.said.items():
+                for name, payloads in self.outgoing.items():
                     if effect.to is None or effect.to == name:
                         payloads.append(payload)
             case ev.SetLogLevel():
@@ -155,24 +156,22 @@
 
     async def _store(self, call: ev.StoreCall) -> None:
         since = self.loop.time()
-        reply = await self._certainly(self.store.run(call), ev.StoreReply(call.tag, "unknown"))
+        reply = await self._outcome(self.store.run(call), ev.StoreReply(call.tag, "unknown"))
         if call.op != "watch":
             self.metrics.took(f"state.{call.op}", self.loop.time() - since)
         self.push(reply)
 
     async def _cloud(self, call: ev.CloudCall) -> None:
         since = self.loop.time()
-        reply = await self._certainly(self.cloud.run(call), ev.CloudReply(call.tag, "unknown"))
+        reply = await self._outcome(self.cloud.run(call), ev.CloudReply(call.tag, "unknown"))
         self.metrics.took(f"cloud.{call.op}", self.loop.time() - since)
         self.push(reply)
 
     async def _worker(self, call: ev.WorkerCall) -> None:
-        self.push(
-            await self._certainly(self.workers.run(call), ev.WorkerReply(call.tag, "unknown"))
-        )
+        self.push(await self._outcome(self.workers.run(call), ev.WorkerReply(call.tag, "unknown")))
 
     @staticmethod
-    async def _certainly(answer: Awaitable[Called], unknown: Called) -> Called:
+    async def _outcome(answer: Awaitable[Called], unknown: Called) -> Called:
         """Give the answer, whatever happens.
 
         Guards against calls that the core waits for for ever: one renewal, proof or rental
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -1,5 +1,8 @@
 """Every constant of the service, with its unit and the reason for its value."""
 
+LONG_AGO = -1e9
+"""s; on the steady clock, before anything happened."""
+
 # --- Membership -----------------------------------------------------------
 GRANT_S = 16.0
 """s; lease of a controller. The paper starts at 10 (Kafka's default); outages of the
@@ -27,13 +30,13 @@
 OVERRIDES_MAX = 100
 """workers; a view with more overrides might not fit a value. Whole members that
 workers do not reach are detached instead."""
-VAIN_S = 4.6
+UNANSWERED_S = 4.6
 """s; a worker waits 4 s for an answer and 1 s more before it tries another node.
 Refused connections and sooner reports come at shorter gaps."""
-VAIN_LONG_S = 12.0
+UNANSWERED_LONG_S = 12.0
 """s; one silent for longer was cut off from everybody, which proves nothing against
 its owner."""
-VAIN_WINDOW_S = 6.0
+UNANSWERED_WINDOW_S = 6.0
 """s; over which such workers are counted: a little more than one round of theirs."""
 DETACH_MIN = 4
 DETACH_SHARE = 0.2
@@ -319,11 +322,11 @@
 ALIVE_EVERY_S = 0.5
 """s; how often the peers are told whose reports came without news. With the time
 between two reports it stays below the silence after which no step goes to a machine."""
-PULSE_EVERY_S = 0.5
+HEARTBEAT_EVERY_S = 0.5
 """s; how often a controller tells the others that it lives."""
-PULSE_LOST_S = 1.8
-"""s; not heard this long, a controller counts as out of reach: three pulses."""
-PULSE_SERVED_S = 4.0
+HEARTBEAT_LOST_S = 1.8
+"""s; not heard this long, a controller counts as out of reach: three heartbeats."""
+HEARTBEAT_SERVED_S = 4.0
 """s; renewals are sent every two seconds: a controller not served this long has
 lost the state service."""
 SHUT_OUT_S = 2.8
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -72,7 +72,7 @@
     """Answers operators from this controller's picture."""
 
     def __init__(self, engine: Engine) -> None:
-        self.e = engine
+        self.engine = engine
         self.values: dict[str, float] = {name: o.default for name, o in OPTIONS.items()}
 
     def __getitem__(self, name: str) -> float:
@@ -81,12 +81,12 @@
     def apply(self) -> None:
         """The stored settings changed: what cannot be taken keeps its default."""
         self.values = {name: option.default for name, option in OPTIONS.items()}
-        for name, value in self.e.replica.settings[1].items():
+        for name, value in self.engine.replica.settings[1].items():
             try:
                 self.values[name] = checked(name, value)
             except BadSetting:
                 continue
-        self.e.queue_dirty = True
+        self.engine.queue_dirty = True
 
     # --- requests ---------------------------------------------------------
     def request(self, cmd: Admin) -> None:
@@ -115,42 +115,44 @@
 
     def _answer(self, cmd: Admin, body: Any, status: int = 200) -> None:
         headers = {"Retry-After": str(c.RETRY_AFTER_S)} if status == 503 else None
-        self.e.emit(Reply(cmd.ask, status, body, headers))
+        self.engine.emit(Reply(cmd.ask, status, body, headers))
 
     # --- reading ----------------------------------------------------------
     def status(self) -> dict[str, Any]:
         """The cluster as this controller sees it."""
-        e = self.e
-        view = e.replica.view
-        budget = e.budget
+        engine = self.engine
+        view = engine.replica.view
+        budget = engine.budget
         return {
-            "node": e.settings.name,
-            "healthy": e.healthy(),
-            "authority": e.membership.authority(),
+            "node": engine.settings.name,
+            "healthy": engine.healthy(),
+            "authority": engine.membership.authority(),
             "leader": view.leader if view else None,
             "term": view.term if view else 0,
             "members": view.members if view else {},
             "overrides": view.overrides if view else {},
             "detached": sorted(view.detached) if view else [],
-            "format": e.replica.format[1],
-            "formats": {node: member.format for node, member in sorted(e.replica.members.items())},
-            "revision": e.replica.revision,
-            "jobs": len(e.replica.jobs),
-            "queued_tasks": sum(job.queued for job in e.replica.jobs.values()),
-            "machines": sum(w.report is not None for w in e.workers.table.values()),
-            "booting": len(e.fleet.booting()) if e.membership.leader() else None,
+            "format": engine.replica.format[1],
+            "formats": {
+                node: member.format for node, member in sorted(engine.replica.members.items())
+            },
+            "revision": engine.replica.revision,
+            "jobs": len(engine.replica.jobs),
+            "queued_tasks": sum(job.queued for job in engine.replica.jobs.values()),
+            "machines": sum(w.report is not None for w in engine.workers.table.values()),
+            "booting": len(engine.fleet.booting()) if engine.membership.leader() else None,
             "calls_waiting": budget.size(),
-            "users_waiting": len(e.requests.open),
-            "machine_types": sorted(e.types),
+            "users_waiting": len(engine.requests.open),
+            "machine_types": sorted(engine.types),
         }
 
     def jobs(self) -> list[dict[str, Any]]:
         """Open jobs, and what they wait for."""
-        jobs = self.e.replica.jobs
+        jobs = self.engine.replica.jobs
         return [self._job(jobs[job_id]) for job_id in sorted(jobs)]
 
     def _job(self, job: Job) -> dict[str, Any]:
-        e = self.e
+        engine = self.engine
         return {
             "id": job.id,
             "class": job.spec.job_class,
@@ -160,28 +162,28 @@
             "done": len(job.done),
             "open": job.open_tasks,
             "queued": job.queued,
-            "cancelled": e.replica.withdrawn(job.id),
-            "owner": e.replica.job_owner(job) if e.replica.view else None,
+            "cancelled": engine.replica.withdrawn(job.id),
+            "owner": engine.replica.job_owner(job) if engine.replica.view else None,
             "failures": job.failures,
             "waits_for": self._waits_for(job),
             "needs": job.spec.needs or [],
-            "needs_left": e.replica.needs.left(job.id),
-            "needed_by": sorted(e.replica.needs.dependents.get(job.id, ())),
+            "needs_left": engine.replica.needs.left(job.id),
+            "needed_by": sorted(engine.replica.needs.dependents.get(job.id, ())),
             "unsettled": [self._attempt(job, attempt) for attempt in job.attempts],
         }
 
     def _waits_for(self, job: Job) -> str | None:
-        needs = self.e.replica.needs
+        needs = self.engine.replica.needs
         if job.id in needs.doomed:
             return "its end: a job that it needs is cancelled"
         if job.id in needs.waiting:
             unread = any(need in needs.unknown for need in needs.left(job.id))
             return "jobs that it needs" + (", some not read yet" if unread else "")
-        return self.e.steps.blocked.get(job.id)
+        return self.engine.steps.blocked.get(job.id)
 
     def _attempt(self, job: Job, attempt: Attempt) -> dict[str, Any]:
         """An attempt that is not settled, and what its settlement waits for."""
-        worker = self.e.workers.table.get(attempt.machine)
+        worker = self.engine.workers.table.get(attempt.machine)
         if worker is None or worker.report is None:
             reason = "machine not heard of"
         elif worker.report.session != attempt.session:
@@ -203,13 +205,13 @@
 
     def machines(self) -> list[dict[str, Any]]:
         """Machines whose workers report."""
-        e = self.e
+        engine = self.engine
         rows = []
-        if e.replica.view:
-            e.rooms.refresh()
-        free = e.rooms.table
-        for name in sorted(e.workers.table):
-            worker = e.workers.table[name]
+        if engine.replica.view:
+            engine.rooms.refresh()
+        free = engine.rooms.table
+        for name in sorted(engine.workers.table):
+            worker = engine.workers.table[name]
             report = worker.report
             if report is None:
                 continue
@@ -220,10 +222,10 @@
                     "type": report.type,
                     "zone": report.zone,
                     "spot": report.spot,
-                    "owner": e.replica.owner_of(name) if e.replica.view else None,
+                    "owner": engine.replica.owner_of(name) if engine.replica.view else None,
                     "session": report.session,
                     "token": report.token,
-                    "silent_s": round(e.now - worker.heard_at, 1),
+                    "silent_s": round(engine.now - worker.heard_at, 1),
                     "notice_s": report.notice_s,
                     "cordoned": worker.cordoned or None,
                     "tasks": sum(t.state != "exited" for t in report.tasks),
@@ -235,10 +237,10 @@
     def teams(self) -> list[dict[str, Any]]:
         """What the teams hold of their guarantees and limits."""
         rows = []
-        for name, team in sorted(self.e.teams.items()):
-            known = self.e.replica.view is not None
-            held = self.e.quota.held_in_all(name) if known else NOTHING
-            record = self.e.replica.team(name)
+        for name, team in sorted(self.engine.teams.items()):
+            known = self.engine.replica.view is not None
+            held = self.engine.quota.held_in_all(name) if known else NOTHING
+            record = self.engine.replica.team(name)
             rows.append(
                 {
                     "name": name,
@@ -259,7 +261,7 @@
     def settings(self) -> dict[str, Any]:
         """Values, defaults, ranges and reasons of the settings."""
         return {
-            "version": self.e.replica.settings[0],
+            "version": self.engine.replica.settings[0],
             "settings": {
                 name: {
                     "value": self.values[name],
@@ -283,7 +285,7 @@
         if not isinstance(body, dict) or not isinstance(body.get("settings"), dict):
             self._answer(cmd, {"error": "settings: an object is needed"}, 400)
             return
-        version, stored = self.e.replica.settings
+        version, stored = self.engine.replica.settings
         asked = body.get("version", version)
         if isinstance(asked, bool) or not isinstance(asked, int):
             self._answer(cmd, {"error": "version: an integer is needed"}, 400)
@@ -301,16 +303,16 @@
 
         def done(reply: StoreReply) -> None:
             if reply.outcome == "ok":
-                self.e.replica.put(SETTINGS, new, reply.data.revision)
+                self.engine.replica.put(SETTINGS, new, reply.data.revision)
                 self.apply()
                 self._answer(cmd, self.settings())
             elif reply.outcome == "conflict":
-                self.e.read_keys([SETTINGS])
+                self.engine.read_keys([SETTINGS])
                 self._answer(cmd, {"error": "the settings were changed meanwhile"}, 409)
             else:
                 self._answer(cmd, {"error": "state service does not answer"}, 503)
 
-        self.e.store(
+        self.engine.store(
             "txn",
             (TxnPlan({SETTINGS: asked}, [Put(SETTINGS, new)]),),
             Priority.USER,
@@ -319,14 +321,14 @@
         )
 
     def _machine(self, cmd: Admin, name: str, action: str) -> None:
-        worker = self.e.workers.table.get(name)
+        worker = self.engine.workers.table.get(name)
         if worker is None or worker.report is None:
             self._answer(cmd, {"error": f"no such machine: {name}"}, 404)
             return
-        if not self.e.membership.acting():
+        if not self.engine.membership.acting():
             self._answer(cmd, {"error": "this controller has no authority now"}, 503)
             return
-        self.e.fleet.operate(name, action)
+        self.engine.fleet.operate(name, action)
         self._answer(cmd, {"id": name, "cordoned": worker.cordoned or None})
 
     def _log_level(self, cmd: Admin) -> None:
@@ -334,5 +336,5 @@
         if level not in LEVELS:
             self._answer(cmd, {"error": f"level: one of {', '.join(LEVELS)}"}, 400)
             return
-        self.e.emit(SetLogLevel(level))
+        self.engine.emit(SetLogLevel(level))
         self._answer(cmd, {"level": level})
--- a/appledock/core/cancels.py
+++ b/appledock/core/cancels.py
@@ -4,7 +4,7 @@
 job may be on any machine. The owner of each machine halts its tasks on the ordinary
 path (`core/workers`). This module is for when that path fails:
 
-* the committed record goes by word of mouth to all peers, since the watch is silent
+* the committed record goes to all peers (gossip), since the watch is silent
   in an outage and for a controller that alone is refused by the state service;
 * every controller that knows of it halts what reports show, without authority: ending
   a task of a committed cancellation is right whoever does it. It starts nothing, renews
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class Known:
+class KnownCancellation:
     """A cancelled job that has tasks yet."""
 
     since: float
@@ -47,11 +47,11 @@
 
 
 class Cancels:
-    """Word of mouth, halts without authority, deletion as the last resort."""
+    """Gossip, halts without authority, deletion as the last resort."""
 
     def __init__(self, engine: Engine) -> None:
-        self.e = engine
-        self.known: dict[str, Known] = {}
+        self.engine = engine
+        self.known: dict[str, KnownCancellation] = {}
         self.halted: dict[Key, float] = {}
         """what was halted here without being ours to command -> when last"""
         self.deleting: dict[str, float] = {}
@@ -59,19 +59,19 @@
         self.next_look = 0.0
         self.next_delete = 0.0
 
-    # --- word of mouth ----------------------------------------------------
+    # --- gossip -----------------------------------------------------------
     def told(self, job: Job | None, job_id: str, revision: int) -> None:
         """A cancellation was committed by us: the peers hear of it with the user."""
-        self.e.emit(PeerSend(self._message(job_id, job, revision)))
+        self.engine.emit(PeerSend(self._message(job_id, job, revision)))
 
     def _message(self, job_id: str, job: Job | None, revision: int) -> JobCancelled:
-        return JobCancelled(job_id, revision, self.e.record(job) if job is not None else None)
+        return JobCancelled(job_id, revision, self.engine.record(job) if job is not None else None)
 
-    def greet(self, name: str) -> None:
+    def on_peer_connected(self, name: str) -> None:
         """A link opened: the peer may have missed what was said."""
-        for job_id in sorted(self.e.replica.cancelled):
-            job = self.e.replica.jobs[job_id]
-            self.e.emit(PeerSend(self._message(job_id, job, job.version), name))
+        for job_id in sorted(self.engine.replica.cancelled):
+            job = self.engine.replica.jobs[job_id]
+            self.engine.emit(PeerSend(self._message(job_id, job, job.version), name))
 
     def on_peer(self, message: JobCancelled) -> None:
         """Take over a committed record, which is true wherever it comes from.
@@ -80,16 +80,16 @@
         """
         job_id, version = message.job, message.version
         if message.record is not None:
-            self.e.replica.put(JOBS + job_id, message.record, version)
+            self.engine.replica.put(JOBS + job_id, message.record, version)
         else:
-            self.e.replica.put(FINAL + job_id, {"state": wire.CANCELLED}, version)
-            self.e.replica.drop(JOBS + job_id, version)
+            self.engine.replica.put(FINAL + job_id, {"state": wire.CANCELLED}, version)
+            self.engine.replica.drop(JOBS + job_id, version)
 
     # --- halts ------------------------------------------------------------
     def _cancelled(self, job_id: str) -> bool:
         return (
-            job_id in self.e.replica.cancelled
-            or self.e.replica.finals.get(job_id) == wire.CANCELLED
+            job_id in self.engine.replica.cancelled
+            or self.engine.replica.finals.get(job_id) == wire.CANCELLED
         )
 
     def seen(self, report: wire.Report) -> None:
@@ -107,11 +107,11 @@
 
         A higher one would make a launch of the present owner void, a lower one is refused.
         """
-        now = self.e.now
+        now = self.engine.now
         due = [
             task
             for task in tasks
-            if now - self.halted.get((report.worker, task.task, task.attempt), -1e9)
+            if now - self.halted.get((report.worker, task.task, task.attempt), c.LONG_AGO)
             >= c.HALT_AGAIN_S
         ]
         if not due:
@@ -131,24 +131,26 @@
 
         def answered(reply: WorkerReply) -> None:
             if reply.report is not None and reply.report.worker == report.worker:
-                self._news(reply.report)
+                self._learn_of_known(reply.report)
 
-        self.e.call(lambda tag: WorkerCall(tag, report.addr, orders, c.ORDERS_TIMEOUT_S), answered)
+        self.engine.call(
+            lambda tag: WorkerCall(tag, report.addr, orders, c.ORDERS_TIMEOUT_S), answered
+        )
 
-    def _news(self, report: wire.Report) -> None:
+    def _learn_of_known(self, report: wire.Report) -> None:
         """Take in the report of a worker that is known already.
 
         One first heard of while we have no authority would be judged by a term that may be long
         over.
         """
-        worker = self.e.workers.table.get(report.worker)
+        worker = self.engine.workers.table.get(report.worker)
         if worker is not None and worker.report is not None:
-            self.e.workers.learn(report)
+            self.engine.workers.learn(report)
 
     # --- timers -----------------------------------------------------------
     def tick(self) -> None:
         """Halt what cancelled jobs still run, and delete machines in the last resort."""
-        now, replica = self.e.now, self.e.replica
+        now, replica = self.engine.now, self.engine.replica
         if now < self.next_look:
             return
         self.next_look = now + c.SILENCE_EVERY_S
@@ -159,67 +161,70 @@
         to_delete: set[str] = set()
         for job_id in sorted(replica.cancelled):
             job = replica.jobs[job_id]
-            known = self._know(job)
+            known = self._noted(job)
             late = self._late(known)
             for attempt in job.attempts:
-                worker = self.e.workers.table.get(attempt.machine)
-                if worker is not None and self._helps(worker, known):
-                    shown = self._shown(worker, job_id, attempt)
+                worker = self.engine.workers.table.get(attempt.machine)
+                if worker is not None and self._halt_is_ours(worker, known):
+                    shown = self._still_there(worker, job_id, attempt)
                     if shown:
                         to_halt.setdefault(attempt.machine, []).extend(shown)
                 if late and self._may_run(worker, job, attempt):
                     to_delete.add(attempt.machine)
         for name, tasks in to_halt.items():
-            report = self.e.workers.table[name].report
+            report = self.engine.workers.table[name].report
             assert report is not None
             self._halt(report, tasks)
         if to_delete:
             self._delete(sorted(to_delete))
 
     def _forget_old(self) -> None:
-        now = self.e.now
-        for job_id in [j for j in self.known if j not in self.e.replica.cancelled]:
+        now = self.engine.now
+        for job_id in [j for j in self.known if j not in self.engine.replica.cancelled]:
             del self.known[job_id]
         self.halted = {key: at for key, at in self.halted.items() if now - at < c.HALT_AGAIN_S}
         self.deleting = {
             name: at for name, at in self.deleting.items() if now - at < c.CANCEL_DELETE_AGAIN_S
         }
 
-    def _know(self, job: Job) -> Known:
+    def _noted(self, job: Job) -> KnownCancellation:
         """Since when we know of the cancellation, and when the user was told."""
         known = self.known.get(job.id)
         if known is None:
-            now = self.e.now
-            at = now - max(0.0, self.e.wall - job.cancelled_at) if job.cancelled_at else now
-            known = self.known[job.id] = Known(now, at)
+            now = self.engine.now
+            at = now - max(0.0, self.engine.wall - job.cancelled_at) if job.cancelled_at else now
+            known = self.known[job.id] = KnownCancellation(now, at)
         return known
 
-    def _helps(self, worker: Worker, known: Known) -> bool:
+    def _halt_is_ours(self, worker: Worker, known: KnownCancellation) -> bool:
         """Is the halt ours to send, since who owns the machine may be unable to?"""
-        if self.e.replica.view is None:
+        if self.engine.replica.view is None:
             return True
-        owner = self.e.replica.owner_of(worker.id)
-        if owner == self.e.settings.name:
-            return not self.e.membership.acting()
-        return not self.e.pulse.works(owner) or self.e.now - known.since > c.HALT_FOR_OTHERS_S
+        owner = self.engine.replica.owner_of(worker.id)
+        if owner == self.engine.settings.name:
+            return not self.engine.membership.acting()
+        return (
+            not self.engine.heartbeats.works(owner)
+            or self.engine.now - known.since > c.HALT_FOR_OTHERS_S
+        )
 
     @staticmethod
-    def _shown(worker: Worker, job_id: str, attempt: Attempt) -> list[wire.TaskReport]:
+    def _still_there(worker: Worker, job_id: str, attempt: Attempt) -> list[wire.TaskReport]:
         if worker.session != attempt.session:
             return []
         entries = [worker.tasks.get((f"{job_id}/{task}", attempt.number)) for task in attempt.tasks]
         return [entry for entry in entries if entry is not None and entry.state != wire.EXITED]
 
     # --- the last resort --------------------------------------------------
-    def _late(self, known: Known) -> bool:
+    def _late(self, known: KnownCancellation) -> bool:
         """Is the time nearly over, and was halting tried for a while?
 
         The owner, who sees most, is first; the others follow if the machine is not gone then.
         """
-        cancel_s = self.e.settings.cluster.workers.cancel_s
+        cancel_s = self.engine.settings.cluster.workers.cancel_s
         return (
-            self.e.now > known.told + cancel_s - c.CANCEL_DELETE_S
-            and self.e.now - known.since > c.HALT_FOR_OTHERS_S
+            self.engine.now > known.told + cancel_s - c.CANCEL_DELETE_S
+            and self.engine.now - known.since > c.HALT_FOR_OTHERS_S
         )
 
     def _may_run(self, worker: Worker | None, job: Job, attempt: Attempt) -> bool:
@@ -229,19 +234,19 @@
         is not there: then only a launch under way could bring it, which its session or a new
         term makes void.
         """
-        workers = self.e.workers
+        workers = self.engine.workers
         if attempt.machine in workers.gone or worker is None:
             return False
-        lease_s = self.e.settings.cluster.workers.lease_s
-        lapsed = self.e.now - max(worker.bound, worker.heard_at) > (
+        lease_s = self.engine.settings.cluster.workers.lease_s
+        lapsed = self.engine.now - max(worker.bound, worker.heard_at) > (
             lease_s * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
         )
         if lapsed or all(workers.verdict(job, attempt, task) is not None for task in attempt.tasks):
             return False
         if worker.session != attempt.session:
             return False
-        near = self.e.now - worker.heard_at < 2 * self.e.settings.cluster.workers.report_s
-        return not near or bool(self._shown(worker, job.id, attempt))
+        near = self.engine.now - worker.heard_at < 2 * self.engine.settings.cluster.workers.report_s
+        return not near or bool(self._still_there(worker, job.id, attempt))
 
     def _delete(self, names: list[str]) -> None:
         """Delete the machines in one request; again until the cloud answers.
@@ -249,11 +254,13 @@
         Who hears of few workers has a doubtful picture and deletes nothing: it is cut off
         itself, and the workers' leases end without it.
         """
-        now = self.e.now
+        now = self.engine.now
         names = [
-            name for name in names if now - self.deleting.get(name, -1e9) >= c.CANCEL_DELETE_AGAIN_S
+            name
+            for name in names
+            if now - self.deleting.get(name, c.LONG_AGO) >= c.CANCEL_DELETE_AGAIN_S
         ][: c.DELETE_MAX]
-        if not names or now < self.next_delete or not self._sees():
+        if not names or now < self.next_delete or not self._hears_most_workers():
             return
         self.next_delete = now + c.CANCEL_DELETE_AGAIN_S / 2
         for name in names:
@@ -262,18 +269,18 @@
 
         def done(reply: CloudReply) -> None:
             if reply.outcome == "ok":
-                self.e.fleet.deleted(names)
+                self.engine.fleet.deleted(names)
             else:
                 for name in names:
                     self.deleting.pop(name, None)
 
-        self.e.call(lambda tag: CloudCall(tag, "delete", (names,), c.CLOUD_TIMEOUT_S), done)
+        self.engine.call(lambda tag: CloudCall(tag, "delete", (names,), c.CLOUD_TIMEOUT_S), done)
 
-    def _sees(self) -> bool:
-        near = 2 * self.e.settings.cluster.workers.report_s
+    def _hears_most_workers(self) -> bool:
+        near = 2 * self.engine.settings.cluster.workers.report_s
         heard = [
-            self.e.now - worker.heard_at < near
-            for worker in self.e.workers.table.values()
+            self.engine.now - worker.heard_at < near
+            for worker in self.engine.workers.table.values()
             if worker.report
         ]
         return sum(heard) >= c.CALM_SHARE * len(heard)
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -15,13 +15,13 @@
 from appledock.core import events as ev
 from appledock.core import messages
 from appledock.core.admin import AdminApi
-from appledock.core.aims import Aims
 from appledock.core.budget import Bucket, Budget, Priority, Waiting
 from appledock.core.cancels import Cancels
 from appledock.core.fleet import Fleet
+from appledock.core.heartbeats import Heartbeats
 from appledock.core.jobs import Job
 from appledock.core.membership import Membership
-from appledock.core.pulse import Pulse
+from appledock.core.objectives import Objectives
 from appledock.core.quota import Quota
 from appledock.core.replica import LIVE, Replica, View, key_kind
 from appledock.core.requests import Requests
@@ -60,7 +60,7 @@
             c.GRANT_MIN_S, min(c.GRANT_S, workers.cancel_s - workers.lease_s - c.CANCEL_RESERVE_S)
         )
         self.teams = {team.name: team for team in settings.cluster.teams}
-        self.aims = Aims(settings.cluster.objectives)
+        self.objectives = Objectives(settings.cluster.objectives)
         self.types: dict[str, wire.MachineType] = {}
         self.acted_view: View | None = None
         self.tag = 0
@@ -78,7 +78,7 @@
         )
         self.replica = Replica()
         self.membership = Membership(self)
-        self.pulse = Pulse(self)
+        self.heartbeats = Heartbeats(self)
         self.workers = Workers(self)
         self.rooms = Rooms(self)
         self.quota = Quota(self)
@@ -137,7 +137,7 @@
             case ev.PeerOpened():
                 self.workers.on_peer_connected(cmd.name)
                 self.fleet.on_peer_connected(cmd.name)
-                self.cancels.greet(cmd.name)
+                self.cancels.on_peer_connected(cmd.name)
             case ev.Admin():
                 self.admin.request(cmd)
             case ev.Tick():
@@ -160,7 +160,7 @@
             case messages.JobCancelled():
                 self.cancels.on_peer(message)
             case messages.Heartbeat():
-                self.pulse.on_peer(message)
+                self.heartbeats.on_peer(message)
             case None:
                 pass
 
@@ -171,7 +171,7 @@
             self._watch()
         for tick in (
             self.membership.tick,
-            self.pulse.tick,
+            self.heartbeats.tick,
             self.workers.tick,
             self.cancels.tick,
             self.requests.tick,
@@ -229,7 +229,7 @@
             self.loaded
             and self.membership.joined
             and bool(self.types)
-            and not self.pulse.shut_out()
+            and not self.heartbeats.shut_out()
         )
 
     # --- calls ------------------------------------------------------------
--- a/appledock/core/fleet/machines.py
+++ b/appledock/core/fleet/machines.py
@@ -27,7 +27,7 @@
         self.on_failed = on_failed
         """called with the machines that a complete list shows as failed"""
         self.listed: dict[str, wire.Machine] = {}
-        self.listed_at = -1e9
+        self.listed_at = c.LONG_AGO
         self.rentals: dict[str, RentedMachine] = {}
         self.rented_at: dict[str, float] = {}
         """machines rented lately -> when; also after they were heard of"""
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -32,7 +32,7 @@
     """Joins, renews, confirms and changes the view."""
 
     def __init__(self, engine: Engine) -> None:
-        self.e = engine
+        self.engine = engine
         self.node = engine.settings.name
         self.lease_local_s = engine.grant_s * (1 - c.CLOCK_DRIFT) - c.AUTHORITY_MARGIN_S
         """s; how long authority lasts, by our own clock"""
@@ -42,9 +42,9 @@
         self.joined = False
         self.joining = False
         self.next_join = 0.0
-        self.touch_sent = -1e9
-        self.view_sent = -1e9
-        self.served_at = -1e9
+        self.touch_sent = c.LONG_AGO
+        self.view_sent = c.LONG_AGO
+        self.served_at = c.LONG_AGO
         """when the state service last answered a renewal or a question"""
         self.next_touch = 0.0
         self.touching = False
@@ -63,15 +63,15 @@
         self.raising = False
         """a newer format of records is being recorded"""
         self.next_raise = 0.0
-        self.term_at = -1e9
-        self.acting_since = -1e9
+        self.term_at = c.LONG_AGO
+        self.acting_since = c.LONG_AGO
         """last moment without authority"""
 
     # --- state ------------------------------------------------------------
     @property
     def view(self) -> View | None:
         """The newest view known."""
-        return self.e.replica.view
+        return self.engine.replica.view
 
     @property
     def term(self) -> int:
@@ -89,14 +89,15 @@
     def authority(self) -> bool:
         """May this controller act for the controllers right now?"""
         return (
-            self.member() and self.e.now < min(self.touch_sent, self.view_sent) + self.lease_local_s
+            self.member()
+            and self.engine.now < min(self.touch_sent, self.view_sent) + self.lease_local_s
         )
 
     def acting(self) -> bool:
         """Authority, and a picture that is complete up to the view."""
-        acts = self.authority() and self.e.replica.synced
+        acts = self.authority() and self.engine.replica.synced
         if not acts:
-            self.acting_since = self.e.now
+            self.acting_since = self.engine.now
         return acts
 
     def detached(self) -> bool:
@@ -115,14 +116,14 @@
         assert self.view is not None
         return {
             VIEW: self.view.version,
-            MEMBERS + self.node: self.e.replica.members[self.node].version,
+            MEMBERS + self.node: self.engine.replica.members[self.node].version,
         }
 
     # --- timers -----------------------------------------------------------
     def tick(self) -> None:
         """Join, renew, and change the view if it is time to."""
-        now = self.e.now
-        if not self.e.loaded:
+        now = self.engine.now
+        if not self.engine.loaded:
             return
         if not self.joined:
             if not self.joining and now >= self.next_join:
@@ -140,13 +141,13 @@
         view, must have been seen with it at the same moment. A node that is down may come back
         old.
         """
-        replica = self.e.replica
+        replica = self.engine.replica
         if (
             replica.format[1] >= NEWEST_FORMAT
             or self.raising
-            or self.e.now < self.next_raise
+            or self.engine.now < self.next_raise
             or not self.leader()
-            or len(replica.members) < self.e.settings.cluster.size
+            or len(replica.members) < self.engine.settings.cluster.size
             or any(member.format < NEWEST_FORMAT for member in replica.members.values())
         ):
             return
@@ -163,7 +164,7 @@
 
         def done(reply: StoreReply) -> None:
             self.raising = False
-            self.next_raise = self.e.now + c.TOUCH_RETRY_S
+            self.next_raise = self.engine.now + c.TOUCH_RETRY_S
             if reply.outcome == "ok":
                 replica.put(FORMAT, {"format": NEWEST_FORMAT}, reply.data.revision)
                 log.info(
@@ -172,19 +173,19 @@
                     NEWEST_FORMAT,
                 )
             elif reply.outcome == "conflict":
-                self.e.read_keys(reply.data.failed)
+                self.engine.read_keys(reply.data.failed)
 
-        self.e.store("txn", (plan,), Priority.VIEW, done)
+        self.engine.store("txn", (plan,), Priority.VIEW, done)
 
     def _retry_join(self) -> None:
         self.joining = False
-        self.next_join = self.e.now + c.TOUCH_RETRY_S * (0.5 + self.e.rng.random())
+        self.next_join = self.engine.now + c.TOUCH_RETRY_S * (0.5 + self.engine.rng.random())
 
     def _join(self) -> None:
         self.joining = True
         self.generation += 1
-        self.incarnation = f"{self.e.incarnation}.{self.generation}"
-        sent = self.e.now
+        self.incarnation = f"{self.engine.incarnation}.{self.generation}"
+        sent = self.engine.now
 
         def granted(reply: StoreReply) -> None:
             if reply.outcome != "ok":
@@ -194,7 +195,7 @@
             self.touch_sent = sent
             self._read_self()
 
-        self.e.store("grant", (int(self.e.grant_s * 1000),), Priority.LEASE, granted)
+        self.engine.store("grant", (int(self.engine.grant_s * 1000),), Priority.LEASE, granted)
 
     def _read_self(self) -> None:
         """Reads predecessor and view afresh, then joins in one transaction.
@@ -208,8 +209,8 @@
                 self._retry_join()
                 return
             if reply.outcome == "ok":
-                self.e.replica.put(VIEW, reply.data.value, reply.data.version)
-            self.e.store("get", (MEMBERS + self.node,), Priority.LEASE, read_member)
+                self.engine.replica.put(VIEW, reply.data.value, reply.data.version)
+            self.engine.store("get", (MEMBERS + self.node,), Priority.LEASE, read_member)
 
         def read_member(reply: StoreReply) -> None:
             if reply.outcome not in ("ok", "missing"):
@@ -217,10 +218,10 @@
                 return
             old = reply.data if reply.outcome == "ok" else None
             if old is None:
-                self.e.replica.members.pop(self.node, None)
+                self.engine.replica.members.pop(self.node, None)
             self._commit_join(old.version if old else 0, old.value.get("lease") if old else None)
 
-        self.e.store("get", (VIEW,), Priority.LEASE, read)
+        self.engine.store("get", (VIEW,), Priority.LEASE, read)
 
     def _commit_join(self, old_version: int, old_lease: int | None) -> None:
         """Take the member key and a new view together.
@@ -240,17 +241,17 @@
             {MEMBERS + self.node: old_version, VIEW: view.version if view else 0},
             [Put(MEMBERS + self.node, value, lease), Put(VIEW, new.encode())],
         )
-        sent = self.e.now
+        sent = self.engine.now
 
         def done(reply: StoreReply) -> None:
             if reply.outcome == "ok":
-                self.served_at = self.e.now
+                self.served_at = self.engine.now
                 revision = reply.data.revision
                 self.joining, self.joined = False, True
-                self.e.replica.put(MEMBERS + self.node, value, revision)
+                self.engine.replica.put(MEMBERS + self.node, value, revision)
                 self.view_sent = sent
-                self.next_touch = self.e.now + c.TOUCH_EVERY_S / 2
-                self.e.replica.put(VIEW, new.encode(), revision)
+                self.next_touch = self.engine.now + c.TOUCH_EVERY_S / 2
+                self.engine.replica.put(VIEW, new.encode(), revision)
                 log.info(
                     "joined as %s, term %d, leader %s, members %s",
                     self.incarnation,
@@ -259,19 +260,19 @@
                     sorted(new.members),
                 )
                 if old_lease is not None and old_lease != lease:
-                    self.e.store("revoke", (old_lease,), Priority.VIEW, lambda _: None)
+                    self.engine.store("revoke", (old_lease,), Priority.VIEW, lambda _: None)
             elif reply.outcome == "conflict":
                 # Guards against joining that never goes on: the state service may answer
                 # the conflict and refuse what is read next.
-                self.e.read_keys(reply.data.failed, self._read_self, self._retry_join)
+                self.engine.read_keys(reply.data.failed, self._read_self, self._retry_join)
             else:
                 self._retry_join()
 
-        self.e.store("txn", (plan,), Priority.LEASE, done)
+        self.engine.store("txn", (plan,), Priority.LEASE, done)
 
     def _touch(self) -> None:
         self.touching = True
-        sent = self.e.now
+        sent = self.engine.now
         lease = self.lease
 
         def touched(reply: StoreReply) -> None:
@@ -280,14 +281,16 @@
                 return
             if reply.outcome == "ok":
                 self.touch_sent = sent
-                self.served_at = self.e.now
-                self.next_touch = max(self.e.now, sent + c.TOUCH_EVERY_S)
+                self.served_at = self.engine.now
+                self.next_touch = max(self.engine.now, sent + c.TOUCH_EVERY_S)
             elif reply.outcome == "missing":
                 self._lost("lease ended")
             else:
-                self.next_touch = self.e.now + c.TOUCH_RETRY_S * (0.75 + self.e.rng.random() / 2)
+                self.next_touch = self.engine.now + c.TOUCH_RETRY_S * (
+                    0.75 + self.engine.rng.random() / 2
+                )
 
-        self.e.store("touch", (lease,), Priority.LEASE, touched)
+        self.engine.store("touch", (lease,), Priority.LEASE, touched)
         self.confirm()
 
     def confirm(self) -> None:
@@ -295,35 +298,50 @@
         if self.confirming or not self.joined:
             return
         self.confirming = True
-        sent = self.e.now
+        sent = self.engine.now
         incarnation = self.incarnation
 
         def read(reply: StoreReply) -> None:
             self.confirming = False
             if reply.outcome != "ok" or incarnation != self.incarnation:
                 return
-            self.e.replica.put(VIEW, reply.data.value, reply.data.version)
+            self.engine.replica.put(VIEW, reply.data.value, reply.data.version)
             if self.view is not None and reply.data.version == self.view.version:
                 if self.member():
                     self.view_sent = max(self.view_sent, sent)
                 else:
                     self._lost("excluded from the view")
 
-        self.e.store("get", (VIEW,), Priority.LEASE, read)
+        self.engine.store("get", (VIEW,), Priority.LEASE, read)
 
     def _lost(self, why: str) -> None:
         log.warning("%s: %s; joining again", self.incarnation, why)
         self.joined = False
         self.lease = None
-        self.touch_sent = self.view_sent = -1e9
-        self.next_join = self.e.now
+        self.touch_sent = self.view_sent = c.LONG_AGO
+        self.next_join = self.engine.now
 
     # --- views ------------------------------------------------------------
     def _next_view(self, members: dict[str, str]) -> View:
         old = self.view
+        detached = self._next_detached(members)
+        leader = self._next_leader(members)
+        if leader in detached and self.node not in detached:
+            leader = self.node
+        overrides = self._next_overrides(members, detached)
+        view = View((old.term if old else 0) + 1, members, leader, overrides, detached)
+        while view.overrides and len(wire.encode(view.encode())) > self.engine.value_bytes:
+            # A worker without its override goes round once more; a view that the state
+            # service refuses as too large would leave the cluster without one.
+            view.overrides = dict(sorted(view.overrides.items())[: len(view.overrides) // 2])
+        return view
+
+    def _next_detached(self, members: dict[str, str]) -> dict[str, str]:
+        """Members that shall own nothing."""
+        before = self.view.detached if self.view else {}
         detached = {
             node: incarnation
-            for node, incarnation in (old.detached if old else {}).items()
+            for node, incarnation in before.items()
             if members.get(node) == incarnation
         }
         detached.update(
@@ -334,44 +352,43 @@
         if len(detached) == len(members):
             # Nobody would own anything: then it is the workers that are cut off.
             detached.clear()
-        leader = (
-            old.leader
-            if old
-            and members.get(old.leader) == old.members.get(old.leader)
+        return detached
+
+    def _next_leader(self, members: dict[str, str]) -> str:
+        """The present leader, if it is still the same incarnation, or else this node."""
+        old = self.view
+        stays = (
+            old is not None
             and old.leader in members
+            and members[old.leader] == old.members.get(old.leader)
             and not self.want_lead
-            else self.node
         )
-        if leader in detached and self.node not in detached:
-            leader = self.node
-        overrides = {}
-        if old:
-            overrides = {
-                worker: to
-                for worker, to in old.overrides.items()
-                if members.get(to[0]) == to[1] and to[0] not in detached
-            }
+        return old.leader if old is not None and stays else self.node
+
+    def _next_overrides(
+        self, members: dict[str, str], detached: dict[str, str]
+    ) -> dict[str, list[str]]:
+        """Workers that belong to another node than the hash says, and to whom."""
+        overrides = {
+            worker: to
+            for worker, to in (self.view.overrides if self.view else {}).items()
+            if members.get(to[0]) == to[1] and to[0] not in detached
+        }
         for worker, node in self.want_override.items():
             if node in members:
                 overrides[worker] = [node, members[node]]
-        overrides = dict(sorted(overrides.items())[: c.OVERRIDES_MAX])
-        view = View((old.term if old else 0) + 1, members, leader, overrides, detached)
-        while view.overrides and len(wire.encode(view.encode())) > self.e.value_bytes:
-            # A worker without its override goes round once more; a view that the state
-            # service refuses as too large would leave the cluster without one.
-            view.overrides = dict(sorted(view.overrides.items())[: len(view.overrides) // 2])
-        return view
+        return dict(sorted(overrides.items())[: c.OVERRIDES_MAX])
 
     def _check_view(self) -> None:
         """Takes a new view when members and view differ, or a new term is needed."""
-        view, now = self.view, self.e.now
-        if view is None or self.changing or not self.member() or not self.e.replica.synced:
+        view, now = self.view, self.engine.now
+        if view is None or self.changing or not self.member() or not self.engine.replica.synced:
             return
-        if self.node not in self.e.replica.members:
+        if self.node not in self.engine.replica.members:
             return
-        members = {node: m.incarnation for node, m in self.e.replica.members.items()}
+        members = {node: m.incarnation for node, m in self.engine.replica.members.items()}
         differs = members != view.members
-        if view.leader == self.node or not self.e.pulse.leader_lost():
+        if view.leader == self.node or not self.engine.heartbeats.leader_lost():
             self.leader_seen = now
         self.want_lead = now - self.leader_seen > c.LEADER_LOST_S
         wanted = self.want_term or self.want_override or self.want_lead or self.want_attached
@@ -384,7 +401,9 @@
             return
         if not self.next_view:
             wait = (
-                0.0 if view.leader == self.node else c.VIEW_JITTER_S * (0.3 + self.e.rng.random())
+                0.0
+                if view.leader == self.node
+                else c.VIEW_JITTER_S * (0.3 + self.engine.rng.random())
             )
             self.next_view = now + wait
         if now < self.next_view:
@@ -394,7 +413,7 @@
     def _change(self, members: dict[str, str]) -> None:
         self.changing = True
         new = self._next_view(members)
-        sent = self.e.now
+        sent = self.engine.now
         plan = TxnPlan(self.conditions(), [Put(VIEW, new.encode())])
 
         def done(reply: StoreReply) -> None:
@@ -402,22 +421,22 @@
             self.next_view = 0.0
             if reply.outcome == "ok":
                 self.view_sent = max(self.view_sent, sent)
-                self.e.replica.put(VIEW, new.encode(), reply.data.revision)
+                self.engine.replica.put(VIEW, new.encode(), reply.data.revision)
                 log.info(
                     "view %d: members %s, leader %s", new.term, sorted(new.members), new.leader
                 )
             elif reply.outcome == "conflict":
-                self.e.read_keys(reply.data.failed)
+                self.engine.read_keys(reply.data.failed)
             else:
-                self.next_view = self.e.now + c.TOUCH_RETRY_S
+                self.next_view = self.engine.now + c.TOUCH_RETRY_S
 
-        self.e.store("txn", (plan,), Priority.VIEW, done)
+        self.engine.store("txn", (plan,), Priority.VIEW, done)
 
     def on_view(self) -> None:
         """A newer view is known."""
-        self.term_at = self.e.now
+        self.term_at = self.engine.now
         self.want_term = self.want_lead = False
-        self.leader_seen = self.e.now
+        self.leader_seen = self.engine.now
         self.want_override.clear()
         self.want_detached.clear()
         self.want_attached = False
--- a/appledock/core/aims.py
+++ b/appledock/core/objectives.py
@@ -14,12 +14,12 @@
 KNOWN = frozenset({"wait", "deadline", "finished", "guarantee"})
 
 
-class Aims:
+class Objectives:
     """Limits by class of jobs; an objective without a class is for all of them."""
 
     def __init__(self, objectives: Iterable[Objective]) -> None:
         self.times: dict[str | None, set[float]] = {}
-        """class -> multiples of the deadline that an aim names"""
+        """class -> multiples of the deadline that an objective names"""
         self.finished: dict[str | None, set[float]] = {}
         """class -> s, from submission to the end"""
         self.wait: dict[str | None, set[float]] = {}
@@ -40,11 +40,11 @@
         return table.get(job_class, set()) | table.get(None, set())
 
     def finished_in(self, spec: wire.JobSpec) -> list[float]:
-        """Seconds by which it should be over from when it can start, one for each aim."""
+        """Seconds by which it should be over from when it can start, one for each objective."""
         return sorted(self._of(self.finished, spec.job_class))
 
     def deadlines(self, spec: wire.JobSpec) -> list[float]:
-        """Seconds from submission by which it should be over, one for each aim."""
+        """Seconds from submission by which it should be over, one for each objective."""
         if spec.deadline_s is None:
             return []
         return sorted(
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -224,7 +224,11 @@
         assert spec is not None
         job = Job(spec, self.e.wall)
         member, view = self.e.membership, self.e.replica.view
-        if member.acting() and view is not None and not self.e.pulse.works(view.owner_of(spec.id)):
+        if (
+            member.acting()
+            and view is not None
+            and not self.e.heartbeats.works(view.owner_of(spec.id))
+        ):
             # Its owner would not see it before its lease is over: it is ours.
             job.handoff = (member.node, member.incarnation)
         plan = TxnPlan(
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -118,7 +118,7 @@
         """Do users and services, ours or another controller's, wait for so many writes
         that steps of arrays would only keep room and writes from them? Not for longer
         than a while."""
-        if not self.pressed() and not self.e.pulse.others_pressed():
+        if not self.pressed() and not self.e.heartbeats.others_pressed():
             self.held_back = math.inf
             return False
         self.held_back = min(self.held_back, self.e.now)
@@ -288,14 +288,14 @@
         rank, end = self.e.replica.needs.pressing(job)
         since = self.since(job)
         waited = self.e.wall - since
-        if waited > self.e.aims.aged(job.spec) and not job.attempts and not job.done:
+        if waited > self.e.objectives.aged(job.spec) and not job.attempts and not job.done:
             # Ageing: first within its rank, later before all: every job begins. One
             # whose tasks were all stopped again to make room has not begun.
             return (-1 if waited > c.OVERDUE_S else 0, -rank, -1, since)
         inside = self.e.quota.inside(job)
-        ends = [since + limit for limit in self.e.aims.finished_in(job.spec)]
+        ends = [since + limit for limit in self.e.objectives.finished_in(job.spec)]
         if job.spec.deadline_s is not None:
-            ends += [job.submitted + limit for limit in self.e.aims.deadlines(job.spec)]
+            ends += [job.submitted + limit for limit in self.e.objectives.deadlines(job.spec)]
         elif end < job.deadline():
             ends.append(end)
         if job.spec.service or not ends:
--- a/appledock/core/workers/answers.py
+++ b/appledock/core/workers/answers.py
@@ -75,17 +75,19 @@
     def _redirect(self, request_id: int, report: wire.Report) -> None:
         owner = self.engine.replica.owner_of(report.worker)
         worker = self.workers.get(report.worker)
-        unanswered = c.VAIN_S <= self.engine.now - worker.heard_at < c.VAIN_LONG_S
+        unanswered = c.UNANSWERED_S <= self.engine.now - worker.heard_at < c.UNANSWERED_LONG_S
         if self.engine.workers.learn(report):
             self.gossip.pass_on(worker)
             self._count_misdirected(worker, owner, unanswered)
-        pulse = self.engine.pulse
+        heartbeats = self.engine.heartbeats
         to: str | None = owner
-        if not pulse.hears_workers(owner) and (unanswered or pulse.vain_at(owner)):
+        if not heartbeats.hears_workers(owner) and (
+            unanswered or heartbeats.peer_reached_by_workers_of(owner)
+        ):
             # Sent back, it would wait in vain again, perhaps until its lease ends.
             # Named no node, it comes to the next one a second later, and from there
             # back to us: until then a new view should have moved it.
-            to = None if unanswered else pulse.vain_at(owner)
+            to = None if unanswered else heartbeats.peer_reached_by_workers_of(owner)
         self.engine.emit(Reply(request_id, 421, wire.Redirect(to)))
 
     def _count_misdirected(self, worker: Worker, owner: str, unanswered: bool) -> None:
--- a/appledock/core/workers/commands.py
+++ b/appledock/core/workers/commands.py
@@ -7,7 +7,7 @@
 from appledock import constants as c
 from appledock import wire
 from appledock.core.jobs import Attempt, Job
-from appledock.core.workers.record import LONG_AGO, TaskKey, Worker
+from appledock.core.workers.record import TaskKey, Worker
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -73,7 +73,7 @@
             if job.spec.checkpoint_s > 0:
                 grace_s = job.spec.save_s + c.SAVE_SLACK_S
         now = self.engine.now
-        if now - worker.halted.get(key, LONG_AGO) < c.HALT_AGAIN_S:
+        if now - worker.halted.get(key, c.LONG_AGO) < c.HALT_AGAIN_S:
             return []
         worker.halted[key] = now
         return [wire.Command(wire.HALT, *key, grace_s=grace_s)]
@@ -85,7 +85,7 @@
         for key, (job, attempt) in recorded.items():
             if key in worker.tasks or attempt.term != term or job.cancelled or attempt.stopping:
                 continue
-            if now - worker.launched.get(key, LONG_AGO) >= c.LAUNCH_AGAIN_S:
+            if now - worker.launched.get(key, c.LONG_AGO) >= c.LAUNCH_AGAIN_S:
                 worker.launched[key] = now
                 result.append(wire.Command(wire.LAUNCH, *key))
         return result
--- a/appledock/core/workers/detachment.py
+++ b/appledock/core/workers/detachment.py
@@ -57,7 +57,7 @@
         heard = [
             worker
             for worker in self.workers.table.values()
-            if now - worker.heard_at < near_s + c.VAIN_S and self.workers.owned(worker.id)
+            if now - worker.heard_at < near_s + c.UNANSWERED_S and self.workers.owned(worker.id)
         ]
         direct = sum(now - worker.reached_at < near_s for worker in heard)
         return direct / len(heard) if heard else 1.0
@@ -75,7 +75,9 @@
             self._forget_old(owner)
             if owner not in self.unanswered:
                 continue
-            waited = len(self.unanswered[owner]) + self.engine.pulse.vain_elsewhere(owner)
+            waited = len(self.unanswered[owner]) + self.engine.heartbeats.unanswered_elsewhere(
+                owner
+            )
             if waited < c.DETACH_MIN or not self._may_detach(owner):
                 continue
             owned = self._heard_of(owner)
@@ -92,7 +94,9 @@
     def _forget_old(self, owner: str) -> None:
         now = self.engine.now
         rows = {
-            name: at for name, at in self.unanswered[owner].items() if now - at < c.VAIN_WINDOW_S
+            name: at
+            for name, at in self.unanswered[owner].items()
+            if now - at < c.UNANSWERED_WINDOW_S
         }
         if rows:
             self.unanswered[owner] = rows
@@ -102,13 +106,13 @@
     def _may_detach(self, owner: str) -> bool:
         view = self.engine.replica.view
         assert view is not None
-        return owner in view.attached() and not self.engine.pulse.hears_workers(owner)
+        return owner in view.attached() and not self.engine.heartbeats.hears_workers(owner)
 
     def _heard_of(self, owner: str) -> int:
         """How many workers of the owner anybody has heard of lately."""
         now = self.engine.now
         return sum(
-            now - worker.heard_at < 2 * c.VAIN_WINDOW_S
+            now - worker.heard_at < 2 * c.UNANSWERED_WINDOW_S
             and self.engine.replica.owner_of(worker.id) == owner
             for worker in self.workers.table.values()
         )
--- a/appledock/core/workers/liveness.py
+++ b/appledock/core/workers/liveness.py
@@ -8,7 +8,7 @@
 from appledock import constants as c
 from appledock.core.events import WorkerCall, WorkerReply
 from appledock.core.workers.gossip import Gossip
-from appledock.core.workers.record import LONG_AGO, NOT_MISDIRECTED, Worker
+from appledock.core.workers.record import NOT_MISDIRECTED, Worker
 from appledock.core.workers.table import WorkerTable
 
 if TYPE_CHECKING:
@@ -90,7 +90,7 @@
         def answered(reply: WorkerReply) -> None:
             worker.calling -= 1
             if reply.report is not None and reply.report.worker == worker.id:
-                worker.mute_at = LONG_AGO
+                worker.mute_at = c.LONG_AGO
                 if self.engine.workers.learn(reply.report):
                     self.gossip.pass_on(worker)
             else:
--- a/appledock/core/workers/manager.py
+++ b/appledock/core/workers/manager.py
@@ -83,7 +83,7 @@
         """Part of our workers, among those heard of lately, that reported to us."""
         return self.detachment.reporting_share()
 
-    def in_vain(self) -> dict[str, int]:
+    def unanswered_counts(self) -> dict[str, int]:
         """Owner -> how many of its workers came here after waiting for it in vain."""
         return self.detachment.unanswered_counts()
 
--- a/appledock/core/workers/record.py
+++ b/appledock/core/workers/record.py
@@ -5,14 +5,12 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from appledock import constants as c
 from appledock import wire
 
 TaskKey = tuple[str, int]
 """task name and attempt number"""
 
-LONG_AGO = -1e9
-"""s; on the steady clock, before anything happened"""
-
 
 class ReportNumber(NamedTuple):
     """Reports of one worker are ordered by this."""
@@ -40,9 +38,9 @@
 
     id: str
     report: wire.Report | None = None
-    heard_at: float = LONG_AGO
+    heard_at: float = c.LONG_AGO
     """when the last report reached us or a peer passed it on"""
-    well_at: float = LONG_AGO
+    well_at: float = c.LONG_AGO
     """when a report last showed that our answers reach the worker"""
     seen: ReportNumber = NOTHING_SEEN
     """number of the newest report that anybody has seen"""
@@ -71,16 +69,16 @@
     calling: int = 0
     """direct calls in flight"""
     show_at: float = 0.0
-    mute_at: float = LONG_AGO
+    mute_at: float = c.LONG_AGO
     """when a direct question last stayed without an answer"""
     misdirected: Misdirected = NOT_MISDIRECTED
     """since when, and how often, it came here although another owns it"""
-    reached_at: float = LONG_AGO
+    reached_at: float = c.LONG_AGO
     """when it last reported to this controller itself, or answered its question"""
-    passed_on: float = LONG_AGO
+    passed_on: float = c.LONG_AGO
     cordoned: str = ""
     """reason, if no step may be placed here"""
-    cordoned_at: float = LONG_AGO
+    cordoned_at: float = c.LONG_AGO
     """when that was last said"""
     failed_jobs: set[str] = field(default_factory=set)
     idle_since: float = 0.0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -13,12 +13,12 @@
 from appledock import wire
 from appledock.core import events as ev
 from appledock.core import placement, preemption, quota
-from appledock.core.aims import Aims
 from appledock.core.budget import Bucket, Budget, Priority, Waiting
 from appledock.core.fleet import MachineKind
 from appledock.core.fleet.model import BootingMachine
 from appledock.core.jobs import Attempt, Job, decode
 from appledock.core.messages import Heartbeat
+from appledock.core.objectives import Objectives
 from appledock.core.placement import Room
 from appledock.core.replica import JOBS, TEAMS, Replica, View
 from appledock.settings import Objective
@@ -487,11 +487,11 @@
     """The state service's writes are shared: while one controller's services waited for
     them after a wave of lost machines, arrays of the others took two thirds."""
     e = engine()
-    e.pulse.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=True))
+    e.heartbeats.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=True))
     assert e.steps._hold_back()
-    e.now += c.PULSE_LOST_S + 1
+    e.now += c.HEARTBEAT_LOST_S + 1
     assert not e.steps._hold_back()  # it may be over since: nobody is heard
-    e.pulse.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=False))
+    e.heartbeats.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=False))
     assert not e.steps._hold_back()
 
 
@@ -499,7 +499,7 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     caplog.set_level("INFO")
-    aims = Aims(
+    objectives = Objectives(
         [
             Objective("deadline", "seal", times=1.5),
             Objective("deadline", "seal", times=1.0),
@@ -511,14 +511,14 @@
     )
     assert "beauty" in caplog.text
     seal = spec(berth="seal", sail_s=70.0)
-    assert aims.deadlines(seal) == [70.0, 105.0]
-    assert aims.finished_in(seal) == [250.0]
-    assert aims.aged(seal) == c.AGED_SHARE * 100.0
-    assert aims.deadlines(spec(berth="other", sail_s=70.0)) == [70.0]
-    assert aims.finished_in(spec(berth="other", sail_s=70.0)) == []
-    assert aims.deadlines(spec(berth="other", sail_s=None)) == []
-    assert aims.aged(spec(berth="other")) == c.AGED_S
-    assert aims.aged(spec(berth="gate", shape="daemon")) == c.AGED_S
+    assert objectives.deadlines(seal) == [70.0, 105.0]
+    assert objectives.finished_in(seal) == [250.0]
+    assert objectives.aged(seal) == c.AGED_SHARE * 100.0
+    assert objectives.deadlines(spec(berth="other", sail_s=70.0)) == [70.0]
+    assert objectives.finished_in(spec(berth="other", sail_s=70.0)) == []
+    assert objectives.deadlines(spec(berth="other", sail_s=None)) == []
+    assert objectives.aged(spec(berth="other")) == c.AGED_S
+    assert objectives.aged(spec(berth="gate", shape="daemon")) == c.AGED_S
 
 
 def test_a_job_that_was_only_handed_on_or_stopped_again_has_not_begun() -> None:
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -14,9 +14,9 @@
 from appledock import wire
 from appledock.core import events as ev
 from appledock.core.engine import Engine
+from appledock.core.heartbeats import Heartbeats
 from appledock.core.jobs import Attempt, Job, decode
 from appledock.core.messages import Heartbeat
-from appledock.core.pulse import Pulse
 from appledock.core.replica import JOBS, VIEW
 from appledock.core.requests import Requests
 from appledock.core.steps import Steps
@@ -215,7 +215,7 @@
 
 def test_whoever_is_shut_out_alone_steps_aside_and_comes_back(monkeypatch: Patch) -> None:
     assert not any(alone()[0])
-    monkeypatch.setattr(Pulse, "shut_out", lambda self: False)
+    monkeypatch.setattr(Heartbeats, "shut_out", lambda self: False)
     assert any(alone()[0])
 
 
@@ -248,7 +248,7 @@
         return world.judge.begun[job] - world.judge.accepted[job]
 
     assert begin_s() < 5.0
-    monkeypatch.setattr(Pulse, "works", lambda self, node: True)
+    monkeypatch.setattr(Heartbeats, "works", lambda self, node: True)
     assert begin_s() > 6.0
 
 
@@ -264,13 +264,13 @@
         for name in names:
             e.workers.learn(report(name, 1))
             e.workers.table[name].idle_since = e.now - 50
-        e.pulse.on_peer(Heartbeat("n1", 0.1))  # n2 is not heard
+        e.heartbeats.on_peer(Heartbeat("n1", 0.1))  # n2 is not heard
         e.fleet._return(e.fleet._demand())
         return e, set(e.fleet.returns.returning)
 
     e, gone = returned()
     assert gone == {name for name in names if e.replica.owner_of(name) != "n2"}
-    monkeypatch.setattr(Pulse, "reached", lambda self, node: True)
+    monkeypatch.setattr(Heartbeats, "reached", lambda self, node: True)
     assert returned()[1] == set(names)
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -224,7 +224,7 @@
             {"kind": "pulse", "node": "n1", "served_s": 0.1},
         ):
             one.handle([code.events.PeerMessage(message)], 100.0, 0.0)
-        assert one.pulse.reached("n1")
+        assert getattr(one, "heartbeats" if code is present() else "pulse").reached("n1")
 
 
 # --- limits ------------------------------------------------------------------
