--- a/appledock/core/fleet/catalogue.py
+++ b/appledock/core/fleet/catalogue.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -40,7 +41,7 @@
             return
         self.read_version = version
         try:
-            types = [msgspec.convert(row, wire.MachineType) for row in rows]
+            types = _stored_types(rows)
         except msgspec.ValidationError as error:
             log.error("malformed catalogue: %s", error)
             return
@@ -65,9 +66,17 @@
         engine.types = {machine_type.name: machine_type for machine_type in reply.data.types}
         engine.rooms.touch_all()
         engine.queue_dirty = True
-        if engine.membership.leader():
+        if engine.membership.leader() and self._differs_from_stored():
             self._store()
 
+    def _differs_from_stored(self) -> bool:
+        """Has anything but the prices changed, which move all the time?"""
+        try:
+            stored = _stored_types(self.engine.replica.catalogue[1])
+        except msgspec.ValidationError:
+            return True
+        return _without_prices(stored) != _without_prices(self.engine.types.values())
+
     def _store(self) -> None:
         engine = self.engine
         version = engine.replica.catalogue[0]
@@ -87,3 +96,15 @@
             Priority.PROGRESS,
             done,
         )
+
+
+def _stored_types(rows: list[Any]) -> list[wire.MachineType]:
+    """The types of a stored catalogue; raises ValidationError if malformed."""
+    return [msgspec.convert(row, wire.MachineType) for row in rows]
+
+
+def _without_prices(types: Iterable[wire.MachineType]) -> list[tuple[object, ...]]:
+    return sorted(
+        (kind.name, kind.cpus, kind.gpus, kind.memory_gb, kind.boot_s, tuple(kind.zones))
+        for kind in types
+    )
--- a/appledock/core/forecast.py
+++ b/appledock/core/forecast.py
@@ -43,7 +43,7 @@
         can still be met, or an objective for its wait.
         """
         _, end = self.engine.replica.needs.pressing(job)
-        waits = self.engine.aims.limits_wait(job.spec)
+        waits = self.engine.objectives.limits_wait(job.spec)
         has_deadline = end < job.submitted + c.NO_DEADLINE_S
         return waits or (has_deadline and self.engine.wall < end)
 
--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -152,6 +152,20 @@
 class PresentCode(Code):
     """The code of this checkout: the one adapter that follows its names."""
 
+    def hears(self, controller: Any, peer: str) -> bool:
+        return bool(controller.heartbeats.reached(peer))
+
+    def told_by(self, controller: Any, peer: str) -> dict[str, Any]:
+        heard = controller.heartbeats.heard[peer]
+        return {
+            "node": peer,
+            "served_s": round(controller.now - heard.served_at, 3),
+            "writes": heard.heartbeat.writes,
+            "reporting": heard.heartbeat.reporting,
+            "vain": heard.heartbeat.unanswered,
+            "pressed": heard.heartbeat.pressed,
+        }
+
 
 @cache
 def present() -> Code:
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -5,11 +5,14 @@
 import json
 from typing import Any
 
+import msgspec
+
 from appledock import constants as c
 from appledock import wire
 from appledock.core import events as ev
 from appledock.core.engine import Engine
 from appledock.core.fleet import Returning
+from appledock.core.replica import CATALOGUE
 from tests.test_launches import NOW, leading, report
 
 IDLE = {"kind": "cordon", "worker": "vm-1", "why": "idle"}
@@ -73,3 +76,26 @@
     assert IDLE in said(e)
     e.fleet.returns.delete(["vm-1"])
     assert IDLE not in said(e)
+
+
+def test_the_catalogue_is_written_when_more_than_prices_has_changed() -> None:
+    """Compared by names that no stored record has, it was written at every reading."""
+    e = leading()
+    catalogue = e.fleet.catalogue
+    kind = wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])
+
+    def written(types: list[wire.MachineType]) -> bool:
+        catalogue._on_types(ev.CloudReply(0, "ok", wire.MachineTypes(types)))
+        plans = [call.args[0] for queue in e.budget.queues for call in queue if call.op == "txn"]
+        puts = [put for plan in plans for put in plan.writes if put.key == CATALOGUE]
+        for queue in e.budget.queues:
+            queue.clear()
+        if puts:
+            version = e.replica.catalogue[0] + 1
+            e.replica.put(CATALOGUE, json.loads(wire.encode(puts[0].value)), version)
+        return bool(puts)
+
+    assert written([kind])
+    assert not written([msgspec.structs.replace(kind, price=0.3, spot_price=0.05)])
+    assert written([msgspec.structs.replace(kind, zones=["a"])])
+    assert not written([msgspec.structs.replace(kind, zones=["a"])])
