--- /dev/null
+++ b/tests/guards.py
@@ -0,0 +1,142 @@
+"""Guards of the scheduler taken out one by one, so that a judge can be seen to notice."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import quota
+from appledock.core.cancels import Cancels
+from appledock.core.engine import Engine
+from appledock.core.jobs import Attempt, Job
+from appledock.core.replica import JOBS
+from appledock.core.requests import Requests
+from appledock.core.steps import Steps
+from appledock.core.workers import Worker, Workers
+
+Patch = pytest.MonkeyPatch
+VERDICT, COMMANDS, STORE, SHARES = (
+    Workers.verdict,
+    Workers.commands,
+    Engine.store,
+    quota.Quota.shares,
+)
+
+
+def silence_settles(patch: Patch, after_s: float = 6.0) -> None:
+    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
+        worker = self.table.get(attempt.machine)
+        if worker is not None and self.engine.now - worker.heard_at > after_s:
+            return "settled"
+        return VERDICT(self, job, attempt, task)
+
+    patch.setattr(Workers, "verdict", verdict)
+
+
+def absence_settles(patch: Patch) -> None:
+    """Without a higher term on the worker."""
+
+    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
+        worker = self.table.get(attempt.machine)
+        if (
+            worker is not None
+            and worker.session == attempt.session
+            and (f"{job.id}/{task}", attempt.number) not in worker.tasks
+        ):
+            return "settled"
+        return VERDICT(self, job, attempt, task)
+
+    patch.setattr(Workers, "verdict", verdict)
+
+
+def any_end_is_done(patch: Patch) -> None:
+    patch.setattr(
+        Workers,
+        "verdict",
+        lambda self, job, attempt, task: "done" if VERDICT(self, job, attempt, task) else None,
+    )
+
+
+def nobody_answered_before(patch: Patch) -> None:
+    """A controller without memory takes workers for unheard of by anybody."""
+
+    def get(self: Workers, name: str) -> Worker:
+        return self.table.setdefault(name, Worker(name))
+
+    patch.setattr(Workers, "get", get)
+
+
+def old_shares_hold(patch: Patch) -> None:
+    """Shares of a team's limit are kept from one view to the next."""
+
+    def shares(self: quota.Quota, name: str) -> quota.Shares:
+        team, view = self.e.replica.team(name), self.e.replica.view
+        assert view is not None
+        kept, team.term = team.term, view.term
+        try:
+            return SHARES(self, name)
+        finally:
+            team.term = kept
+
+    patch.setattr(quota.Quota, "shares", shares)
+
+
+def no_charges(patch: Patch) -> None:
+    patch.setattr(quota, "charge", lambda job: quota.NOTHING)
+
+
+def zones_unseen(patch: Patch) -> None:
+    patch.setattr(Steps, "zones", lambda self, job: {})
+
+
+def no_job_version(patch: Patch) -> None:
+    def store(self: Engine, op: str, args: tuple[Any, ...], *rest: Any) -> Any:
+        if op == "txn":
+            args[0].conditions = {
+                key: version
+                for key, version in args[0].conditions.items()
+                if not (key.startswith(JOBS) and version)
+            }
+        return STORE(self, op, args, *rest)
+
+    patch.setattr(Engine, "store", store)
+
+
+def all_is_accepted(patch: Patch) -> None:
+    patch.setattr(Requests, "verdict", lambda self, spec: None)
+
+
+def no_word_of_mouth(patch: Patch) -> None:
+    """Nor deletions: what is left is time, since leases end in `cancel_s`."""
+    patch.setattr(Cancels, "told", lambda *_: None)
+    patch.setattr(Cancels, "_halt", lambda *_: None)
+    patch.setattr(Cancels, "_delete", lambda *_: None)
+
+
+def nothing_but_long_leases(patch: Patch) -> None:
+    no_word_of_mouth(patch)
+    patch.setattr(c, "CANCEL_RESERVE_S", -14.0)
+    patch.setattr(c, "GRANT_S", 30.0)
+
+
+def no_halts(patch: Patch) -> None:
+    no_word_of_mouth(patch)
+    patch.setattr(
+        Workers,
+        "commands",
+        lambda self, worker, direct: [
+            x for x in COMMANDS(self, worker, direct) if x.op != wire.HALT
+        ],
+    )
+
+
+def answers_without_proof(patch: Patch) -> None:
+    def tell(self: Requests) -> None:
+        polls, self.polls = self.polls, []
+        for asked in polls:
+            self._tell(asked, True)
+
+    patch.setattr(Requests, "_prove", tell)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import pytest
 
 from appledock import wire
 from appledock.core import placement, quota
 from appledock.core.cancels import Cancels
-from appledock.core.engine import Engine
 from appledock.core.jobs import Attempt, Job
 from appledock.core.membership import Membership
-from appledock.core.replica import JOBS
 from appledock.core.requests import Requests
 from appledock.core.workers import Workers
+from tests.guards import absence_settles, no_job_version, silence_settles
 from tests.standins.world import World
 from tests.test_faults import play
 
@@ -63,43 +60,17 @@
 
 
 def test_silence_taken_for_settlement(monkeypatch: Patch) -> None:
-    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
-        worker = self.table.get(attempt.machine)
-        if worker is not None and self.engine.now - worker.heard_at > 3.0:
-            return "settled"
-        return VERDICT(self, job, attempt, task)
-
-    monkeypatch.setattr(Workers, "verdict", verdict)
+    silence_settles(monkeypatch, 3.0)
     assert "ran_twice" in kinds(range(10), "cut")
 
 
 def test_missing_taken_for_settlement_without_a_higher_term(monkeypatch: Patch) -> None:
-    def verdict(self: Workers, job: Job, attempt: Attempt, task: int) -> str | None:
-        worker = self.table.get(attempt.machine)
-        if (
-            worker is not None
-            and worker.session == attempt.session
-            and (f"{job.id}/{task}", attempt.number) not in worker.tasks
-        ):
-            return "settled"
-        return VERDICT(self, job, attempt, task)
-
-    monkeypatch.setattr(Workers, "verdict", verdict)
+    absence_settles(monkeypatch)
     assert kinds(range(10), late_orders=0.3) & {"ran_twice", "quota"}
 
 
 def test_steps_without_the_job_version(monkeypatch: Patch) -> None:
-    store = Engine.store
-
-    def unconditional(self: Engine, op: str, args: tuple[Any, ...], *rest: Any) -> bool:
-        if op == "txn":
-            plan = args[0]
-            plan.conditions = {
-                k: v for k, v in plan.conditions.items() if not (k.startswith(JOBS) and v)
-            }
-        return store(self, op, args, *rest)
-
-    monkeypatch.setattr(Engine, "store", unconditional)
+    no_job_version(monkeypatch)
     assert kinds(range(10), "late", "isolate") & {
         "ran_cancelled",
         "went_back",
