A share that goes along with a job handed on is never written by itself

Cause: while steps waited for their writes, the team's record that a step needed was written alone and first. For a job handed on with running tasks that record moves their charge to the heir, while the job stayed here: the heir could use the same part of the limit once more. Only raises for jobs that stay are written first.

--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -572,14 +572,17 @@
         else:
             plan.writes.append(Put(JOBS + job.id, self.e.record(self.e.slim(new))))
         team = job.spec.team
-        good, record = self.e.quota.plan(job, new, self.e.replica.job_owner(new))
+        heir = self.e.replica.job_owner(new)
+        good, record = self.e.quota.plan(job, new, heir)
         if not good:
             self.blocked[job.id] = "team record under way"
             self.later.add(job.id)
             return False
-        if record is not None and reserved and self._crowded():
+        if record is not None and heir == self.e.settings.name and self._crowded():
             # A step that waits for its write meets the others' changes of the record, and
-            # is then placed anew: the share is raised first, by itself.
+            # is then placed anew: the share is raised first, by itself. Never where the job
+            # is handed on: its charge goes along with it, or the heir's share would hold
+            # what still runs here.
             self._write_team(team, record, Priority.URGENT)
             self.blocked[job.id] = "team record under way"
             return False
