--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -61,7 +61,13 @@
 }
 """meeting -> a guard, and the rule that breaks without it. Not where several guards each
 suffice: `apart_leader` (leases, terms and word of mouth)."""
-SEEDS = {"hand_over": 2, "late_reports": 4, "late_writes": 15, "gap_very_second": 2}
+SEEDS = {
+    "hand_over": 2,
+    "late_commands": 6,
+    "late_reports": 4,
+    "late_writes": 15,
+    "gap_very_second": 2,
+}
 """days on which the meeting happens in full; the first one for the others"""
 STARTS_AFTER_S = {"held_commands": 8.0, "changing_hands": 1.0, "gap_at_once": 0.25}
 """s after the answer up to which a task of a cancelled job may still start; none at all
