--- a/appledock/app.py
+++ b/appledock/app.py
@@ -48,6 +48,8 @@
         self.store = Store(*split_address(settings.external.state))
         self.cloud = Cloud(*split_address(settings.external.cloud))
         self.workers = WorkerCalls(int(settings.cluster.limits.fd_limit * c.FD_WORKERS_SHARE))
+        sockets = settings.cluster.limits.fd_limit - c.FD_RESERVE - self.workers.most
+        self.server = Server(self._request, sockets)
         self.links = {
             peer.name: PeerLink(
                 peer.name,
@@ -61,10 +63,7 @@
 
     async def run(self) -> None:
         """Serve until the process is killed."""
-        server = Server(
-            self._request, self.settings.cluster.limits.fd_limit - c.FD_RESERVE - self.workers.most
-        )
-        await server.start(*split_address(self.settings.listen))
+        await self.server.start(*split_address(self.settings.listen))
         await self.loop.create_server(
             lambda: PeerServer(lambda message: self.push(ev.PeerMessage(message))),
             *split_address(self.settings.peer_listen),
@@ -72,7 +71,12 @@
         )
         for link in self.links.values():
             self._spawn(link.run())
-        log.info("%s listens on %s", self.settings.name, self.settings.listen)
+        log.info(
+            "%s listens on %s, for %d connections at most",
+            self.settings.name,
+            self.settings.listen,
+            self.server.limit,
+        )
         gc.freeze()
         gc.set_threshold(c.GC_ALLOCATIONS)
         self.push(ev.Tick())
@@ -120,6 +124,11 @@
                         **self.metrics.summary(),
                         "conflicts": self.engine.conflicts,
                         "refusals": self.engine.refusals,
+                        "connections": {
+                            "open": len(self.server.connections),
+                            "most": self.server.limit,
+                            "refused": self.server.refused,
+                        },
                     }
                 ),
                 None,
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -27,9 +27,6 @@
 """s; a worker that keeps coming to a non-owner this long is moved to it."""
 OVERRIDE_MIN_TRIES = 3
 """count; redirects after which a worker counts as unable to reach its owner."""
-OVERRIDES_MAX = 100
-"""workers; a view with more overrides might not fit a value. Whole members that
-workers do not reach are detached instead."""
 UNANSWERED_S = 4.6
 """s; a worker waits 4 s for an answer and 1 s more before it tries another node.
 Refused connections and sooner reports come at shorter gaps."""
@@ -127,8 +124,11 @@
 planned smaller, whatever the state service refuses."""
 DESCRIPTION_SHARE = 0.7
 """ratio; part of that which a job's description may fill: the rest is for its attempts."""
-CALL_QUEUE_MAX = 400
-"""calls; beyond it new calls to the state service are refused at once."""
+CALL_QUEUE_S = 20.0
+CALL_QUEUE_LEAST = 400
+"""s, calls; so many seconds' worth of the state service's requests may wait, and never fewer
+calls than that; beyond it new ones are refused at once. They are given up after six seconds
+anyway. Users' calls are bounded by `PENDING_USERS_MAX` and do not count."""
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 1.0
 """s; jittered pause before a failed write is decided anew."""
@@ -144,6 +144,11 @@
 """s; an idle connection is closed."""
 FD_RESERVE = 100
 """sockets; kept for state service, cloud, peers and files below the platform's limit."""
+FULL_ANSWERED_MAX = FD_RESERVE // 4
+FULL_LINGER_S = 1.0
+FULL_WARNING_S = 20.0
+"""connections, s, s; so many beyond the limit are told to come again (503 with Retry-After),
+each open for so long at most; more are reset. The log says so at most so often."""
 FD_WORKERS_SHARE = 0.25
 """ratio; part of the platform's limit kept for our calls to workers. What comes in gets
 the rest: at 900 machines one controller alone has 900 reports and its users."""
@@ -253,6 +258,11 @@
 """s; how often the leader reads the machine list."""
 MACHINE_LIST_LIMIT = 500
 """machines; the protocol's limit for one page of the list."""
+LIST_CALLS_SHARE = 0.5
+"""ratio; part of the cloud's calls that the pages of a list may take: the rest is for
+rentals and deletions."""
+LIST_ABANDON_S = 60.0
+"""s; a list whose pages are refused so long is begun anew."""
 TYPES_EVERY_S = 30.0
 """s; how often machine types and prices are read again."""
 TYPES_RETRY_S = 1.0
@@ -275,8 +285,6 @@
 RENT_MAX = 50
 DELETE_MAX = 100
 """machines; the protocol's limits for one request."""
-DEMAND_TASKS_MAX = 4 * RENT_MAX
-"""tasks; no more of one job count for one fleet decision."""
 NO_CAPACITY_S = 6.0
 """s; a type refused by the cloud is not asked for again before."""
 IDLE_RETURN_S = 6.0
@@ -333,8 +341,13 @@
 """s; pause before a lost link is dialled again."""
 GONE_MAX = 20_000
 """machines; remembered as deleted. Beyond, the older half is forgotten."""
-GONE_RESENT_MAX = 2000
+GONE_RESENT_MAX = GONE_MAX // 2
 """machines; the latest deletions, told to a peer whose link has just opened."""
+LINK_PART = 400
+"""workers; told to a peer in one part after its link has opened, one part a look. All 4,000
+at once are more than the link's buffer takes: the link was dropped, and began again."""
+ALIVE_PART = 2000
+"""workers; in one message about those whose reports showed nothing new: 80 KB."""
 AGE_MAX_S = 1e6
 """s; ages told to peers are cut off here."""
 PEER_RESEND_S = 5.0
--- a/appledock/core/budget.py
+++ b/appledock/core/budget.py
@@ -89,9 +89,14 @@
         return sum(len(queue) for queue in self.queues)
 
     def add(self, call: Waiting) -> bool:
-        """False: the queue is full. Leases and views are always taken."""
-        if call.priority > Priority.VIEW and self.size() >= c.CALL_QUEUE_MAX:
-            return False
+        """False: the queue is full. Leases, views and users' calls are always taken.
+
+        Guards against users turned away because hundreds of steps wait.
+        """
+        if call.priority > Priority.USER:
+            waiting = sum(len(queue) for queue in self.queues[Priority.URGENT :])
+            if waiting >= max(c.CALL_QUEUE_LEAST, c.CALL_QUEUE_S * self.requests.rate):
+                return False
         self.queues[call.priority].append(call)
         self.news = True
         return True
--- a/appledock/core/fleet/demand.py
+++ b/appledock/core/fleet/demand.py
@@ -39,7 +39,6 @@
             used = engine.quota.held_in_all(job.spec.team)
         tasks = min(
             job.queued,
-            c.DEMAND_TASKS_MAX,
             (quota.limit(limits) - used).most(quota.NOTHING).count(job.spec),
         )
         if tasks:
--- a/appledock/core/fleet/machines.py
+++ b/appledock/core/fleet/machines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from appledock import constants as c
@@ -16,6 +17,18 @@
     from appledock.core.engine import Engine
 
 
+@dataclass(slots=True)
+class ListReading:
+    """A machine list that is being read."""
+
+    began: float
+    found: dict[str, wire.Machine] = field(default_factory=dict)
+    after: str | None = None
+    """the last machine read so far"""
+    next_page: float = 0.0
+    calling: bool = False
+
+
 class Machines:
     """Reads the machine list and remembers what was rented."""
 
@@ -32,35 +45,60 @@
         self.rented_at: dict[str, float] = {}
         """machines rented lately -> when; also after they were heard of"""
         self.next_list = 0.0
-        self.listing = False
+        self.reading: ListReading | None = None
 
     # --- machine list -----------------------------------------------------
     def refresh(self) -> None:
-        """Read the machine list, page by page, if it is time to."""
-        if self.engine.now < self.next_list or self.listing:
-            return
-        self.listing = True
-        found: dict[str, wire.Machine] = {}
+        """Read the machine list if it is time to, page by page.
+
+        Guards against a list that never ends: read without a pause, eight pages are more
+        calls than a cloud of two a second takes, and begun anew after each refusal the list of
+        4,000 machines was never read to its end.
+        """
+        now = self.engine.now
+        reading = self.reading
+        if reading is None:
+            if now < self.next_list:
+                return
+            reading = self.reading = ListReading(now)
+        if not reading.calling and now >= reading.next_page:
+            self._read_page(reading)
+
+    def read_anew(self) -> None:
+        """Forget what was read of a list so far, and begin at once."""
+        self.reading = None
+        self.next_list = self.engine.now
 
-        def read_page(after: str | None) -> None:
-            self.cloud.call("list", (after, c.MACHINE_LIST_LIMIT), on_page)
+    def _read_page(self, reading: ListReading) -> None:
+        reading.calling = True
+        args = (reading.after, c.MACHINE_LIST_LIMIT)
+        self.cloud.call("list", args, lambda reply: self._on_page(reading, reply))
 
-        def on_page(reply: CloudReply) -> None:
-            if reply.outcome != "ok":
+    def _on_page(self, reading: ListReading, reply: CloudReply) -> None:
+        now = self.engine.now
+        if reading is not self.reading:
+            return  # begun anew meanwhile
+        reading.calling = False
+        if reply.outcome != "ok":
+            self.cloud.back_off()
+            if now - reading.began > c.LIST_ABANDON_S:
                 self._list_ended()
-                self.cloud.back_off()
-                return
-            found.update((machine.id, machine) for machine in reply.data.machines)
-            if reply.data.more and reply.data.machines:
-                read_page(reply.data.machines[-1].id)
-                return
-            self._list_ended()
-            self._on_list(found)
+            return
+        machines = reply.data.machines
+        reading.found.update((machine.id, machine) for machine in machines)
+        if reply.data.more and machines:
+            reading.after = machines[-1].id
+            reading.next_page = now + self._page_pause_s()
+            return
+        self._list_ended()
+        self._on_list(reading.found)
 
-        read_page(None)
+    def _page_pause_s(self) -> float:
+        """Pause between two pages, so that rentals and deletions find their turn as well."""
+        return 1.0 / (self.engine.settings.cluster.cloud.rps * c.LIST_CALLS_SHARE)
 
     def _list_ended(self) -> None:
-        self.listing = False
+        self.reading = None
         self.next_list = self.engine.now + c.LIST_EVERY_S
 
     def _on_list(self, found: dict[str, wire.Machine]) -> None:
--- a/appledock/core/fleet/manager.py
+++ b/appledock/core/fleet/manager.py
@@ -76,7 +76,7 @@
         if self.led_since is None:
             now = self.engine.now
             self.led_since = now
-            self.machines.next_list = now
+            self.machines.read_anew()
             # The peers send their pictures first: a machine not heard of yet is
             # neither late nor missing.
             self.next_plan = now + c.LEADER_PAUSE_S
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -330,10 +330,13 @@
             leader = self.node
         overrides = self._next_overrides(members, detached)
         view = View((old.term if old else 0) + 1, members, leader, overrides, detached)
+        dropped = len(overrides)
         while view.overrides and len(wire.encode(view.encode())) > self.engine.value_bytes:
             # A worker without its override goes round once more; a view that the state
             # service refuses as too large would leave the cluster without one.
-            view.overrides = dict(sorted(view.overrides.items())[: len(view.overrides) // 2])
+            kept = len(view.overrides) * 9 // 10
+            view.overrides = dict(sorted(view.overrides.items())[:kept])
+            log.warning("%d workers keep to the hash: the view holds no more", dropped - kept)
         return view
 
     def _next_detached(self, members: dict[str, str]) -> dict[str, str]:
@@ -372,12 +375,14 @@
         overrides = {
             worker: to
             for worker, to in (self.view.overrides if self.view else {}).items()
-            if members.get(to[0]) == to[1] and to[0] not in detached
+            if members.get(to[0]) == to[1]
+            and to[0] not in detached
+            and worker not in self.engine.workers.gone
         }
         for worker, node in self.want_override.items():
             if node in members:
                 overrides[worker] = [node, members[node]]
-        return dict(sorted(overrides.items())[: c.OVERRIDES_MAX])
+        return overrides
 
     def _check_view(self) -> None:
         """Takes a new view when members and view differ, or a new term is needed."""
--- a/appledock/core/workers/gossip.py
+++ b/appledock/core/workers/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,8 @@
         self.workers = workers
         self.unchanged: set[str] = set()
         """workers whose reports came and showed nothing new: told to the peers soon"""
+        self._untold: dict[str, deque[str]] = {}
+        """peer whose link has opened -> workers that it is still to be told of"""
         self.next_alive = 0.0
         self.next_remind = 0.0
 
@@ -38,6 +41,7 @@
     def tick(self) -> None:
         """Send what is due."""
         now = self.engine.now
+        self._tell_parts()
         if now >= self.next_alive:
             self.next_alive = now + c.ALIVE_EVERY_S
             self._send_alive(sorted(self.unchanged))
@@ -66,19 +70,30 @@
         self.engine.emit(PeerSend(SessionLapsed(machine, session), to))
 
     def on_peer_connected(self, name: str) -> None:
-        """A link (re)opened: what the peer missed is sent again."""
-        for worker in self.workers.table.values():
-            if (
-                worker.report is not None
-                and self.engine.replica.view
-                and self.workers.owned(worker.id)
-            ):
-                self._send_report(worker, worker.report, name)
-            if worker.lapsed:
-                self.announce_lapsed(worker.id, worker.lapsed, name)
-        self._send_alive(list(self.workers.table), name)
+        """A link (re)opened: what the peer missed is sent again, part by part."""
+        self._untold[name] = deque(self.workers.table)
         if self.workers.gone:
             self._send_gone(list(self.workers.gone)[-c.GONE_RESENT_MAX :], name)
+        self._tell_parts()
+
+    def _tell_parts(self) -> None:
+        """One part more to each peer whose link has opened."""
+        for peer, names in list(self._untold.items()):
+            part = [names.popleft() for _ in range(min(len(names), c.LINK_PART))]
+            if not names:
+                del self._untold[peer]
+            self._tell_part(peer, part)
+
+    def _tell_part(self, peer: str, names: list[str]) -> None:
+        for name in names:
+            worker = self.workers.table.get(name)
+            if worker is None:
+                continue
+            if worker.report is not None and self.engine.replica.view and self.workers.owned(name):
+                self._send_report(worker, worker.report, peer)
+            if worker.lapsed:
+                self.announce_lapsed(name, worker.lapsed, peer)
+        self._send_alive(names, peer)
 
     def _send_report(self, worker: Worker, report: wire.Report, to: str | None = None) -> None:
         message = WorkerReported(report, self._age_s(worker.well_at))
@@ -93,8 +108,8 @@
             for name in names
             if (worker := self.workers.table.get(name)) is not None
         ]
-        if rows:
-            self.engine.emit(PeerSend(WorkersAlive(rows), to))
+        for first in range(0, len(rows), c.ALIVE_PART):
+            self.engine.emit(PeerSend(WorkersAlive(rows[first : first + c.ALIVE_PART]), to))
 
     def _send_gone(self, machines: list[str], to: str | None = None) -> None:
         self.engine.emit(PeerSend(MachinesGone(machines), to))
--- /dev/null
+++ b/tests/test_at_size.py
@@ -0,0 +1,256 @@
+"""About 4,000 machines: no limit of ours stands below that."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+
+import msgspec
+import pytest
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import events as ev
+from appledock.core.engine import Engine
+from appledock.core.fleet.demand import queued_demand
+from appledock.core.fleet.machines import Machines
+from appledock.core.jobs import Job
+from appledock.core.replica import VIEW
+from appledock.net.http import Answer, Server
+from appledock.net.peers import frame
+from appledock.settings import Settings
+from tests.standins import world as standins
+from tests.standins.world import CANCEL_S, World
+from tests.test_decisions import engine, spec
+
+Patch = pytest.MonkeyPatch
+FLEET = 4000
+CRATES = 100
+"""tasks of one array, each of which takes a whole machine"""
+
+
+@pytest.fixture
+def large_teams(monkeypatch: Patch) -> None:
+    """Teams whose limits leave room for all machines."""
+    cores = 4.0 * FLEET
+    monkeypatch.setattr(standins, "TEAMS", {"red": (cores, cores), "blue": (cores, cores)})
+
+
+def array(number: int, run_s: float) -> dict[str, object]:
+    """A job whose tasks take a whole machine each."""
+    return {
+        "id": f"job-{number:06d}",
+        "berth": "arr",
+        "owner": "red",
+        "shape": "batch",
+        "rank": "standard",
+        "crates": CRATES,
+        "cores": 4.0,
+        "cards": 0.0,
+        "memory_gb": 2.0,
+        "cargo": "img-0",
+        "image_gb": 1.0,
+        "hulls": None,
+        "quay": None,
+        "together": False,
+        "scatter": False,
+        "standby": False,
+        "eta_s": run_s,
+        "stow_s": 0.0,
+        "lash_s": 0.0,
+        "sail_s": None,
+        "run_s": run_s,
+    }
+
+
+def busy(world: World) -> int:
+    """Machines that run a task."""
+    return len({machine for places in world.judge.on.values() for machine in places})
+
+
+def test_a_day_at_4000_machines(large_teams: None) -> None:
+    """Cold start from the list, one controller left for all workers, a zone of half of the
+    machines cut and back, all controllers down and up, and all jobs cancelled at once."""
+    world = World(1)
+    world.cloud.rps = 5.0
+    world.cloud.add_machines(FLEET, up_within_s=3.0)
+    jobs = range(1, FLEET // CRATES + 1)
+    for number in jobs:
+        world.clock.at(2.0 + 0.1 * number, lambda n=number: world.submit(array(n, 1e6)))
+    world.clock.run(25.0)
+    assert busy(world) == FLEET
+
+    # For longer than any lease: their workers' sessions end, and all tasks run again.
+    for name in ("n1", "n2"):
+        world.nodes[name].crash(25.0)
+    world.clock.run(49.0)
+    assert busy(world) == FLEET
+    alone = world.nodes["n0"].engine
+    assert all(alone.workers.owned(name) for name in world.cloud.workers)
+
+    world.clock.run(56.0)
+    for node in world.nodes.values():
+        heard = [worker for worker in node.engine.workers.table.values() if worker.report]
+        assert len(heard) == FLEET  # those that came back know all workers again
+
+    zone = {name for name, worker in world.cloud.workers.items() if worker.row["quay"] == "a"}
+    world.clock.cut(zone, set(world.names), 4.5, hold=False)
+    world.clock.run(66.0)
+    assert busy(world) == FLEET  # no lease ran out
+
+    for node in world.nodes.values():
+        node.crash(1.0)
+    world.clock.run(76.0)
+    assert busy(world) == FLEET
+    leader = next(node.engine for node in world.nodes.values() if node.engine.membership.leader())
+    world.clock.run(88.0)
+    assert len(leader.fleet.machines.listed) == FLEET
+
+    for number in jobs:
+        world.clock.after(0.05 * number, lambda n=number: world.cancel(f"job-{n:06d}"))
+    world.clock.run(88.0 + 2.0 + CANCEL_S)
+    assert busy(world) == 0
+    assert len(world.judge.final) == len(jobs)
+    assert world.judge.broken == []
+
+
+# --- the machine list ----------------------------------------------------------
+def listed_after(seconds: float) -> int:
+    """Machines known from the list of a cloud that takes two calls a second."""
+    world = World(2)
+    world.cloud.rps = 2.0
+    world.cloud.add_machines(FLEET, up_within_s=0.5)
+    for worker_starts in world.cloud.machines.values():
+        worker_starts["status"] = "running"  # nobody reports: the list alone tells of them
+    for node in world.nodes.values():
+        node.engine.settings = _with_cloud_rps(node.engine.settings, 2.0)
+    world.clock.run(seconds)
+    return max(len(node.engine.fleet.machines.listed) for node in world.nodes.values())
+
+
+def _with_cloud_rps(settings: Settings, rps: float) -> Settings:
+    cloud = msgspec.structs.replace(settings.cluster.cloud, rps=rps)
+    cluster = msgspec.structs.replace(settings.cluster, cloud=cloud)
+    return msgspec.structs.replace(settings, cluster=cluster)
+
+
+def test_a_list_of_eight_pages_is_read_to_its_end(monkeypatch: Patch) -> None:
+    assert listed_after(25.0) == FLEET
+    # As it was: page after page without a pause, and from the first one after a refusal.
+    monkeypatch.setattr(Machines, "_page_pause_s", lambda self: 0.0)
+    monkeypatch.setattr(c, "LIST_ABANDON_S", -1.0)
+    assert listed_after(25.0) == 0
+
+
+# --- links between controllers ---------------------------------------------------
+def owner_of_all() -> Engine:
+    """An engine that owns 4,000 workers with eight tasks each."""
+    e = engine()
+    e.replica.put(VIEW, {"term": 5, "members": {"n0": "x.1"}, "leader": "n0"}, 1)
+    e.replica.put("ad/live/members/n0", {"incarnation": "x.1", "lease": 1}, 1)
+    e.replica.view_changed = False
+    e.membership.joined, e.membership.incarnation = True, "x.1"
+    e.membership.touch_sent = e.membership.view_sent = e.membership.served_at = e.now
+    e.replica.advance(1)
+    for number in range(FLEET):
+        tasks = [wire.TaskReport(f"job-{number:06d}/{n}", 1, wire.RUNNING) for n in range(8)]
+        e.workers.learn(
+            wire.Report(f"vm-{number:06d}", "10.0.0.9:9000", "h4", "a", 1, number, 5, tasks=tasks)
+        )
+    return e
+
+
+def told_at_once(seconds: float) -> tuple[int, int]:
+    """Most bytes that one batch gives to a link that has just opened, and workers told of."""
+    e, most, told = owner_of_all(), 0, set()
+    for _ in range(math.ceil(seconds / c.TICK_S)):
+        e.membership.touch_sent = e.membership.view_sent = e.membership.served_at = e.now
+        batch: list[ev.Cmd] = [ev.Tick()] if told else [ev.PeerOpened("n1")]
+        effects = e.handle(batch, e.now + c.TICK_S, 0.0)
+        messages = [
+            json.loads(wire.encode(x.message)) for x in effects if isinstance(x, ev.PeerSend)
+        ]
+        told |= {m["report"]["dockhand"] for m in messages if m["kind"] == "worker"}
+        most = max(most, sum(len(frame(json.dumps(m).encode())) for m in messages))
+    return most, len(told)
+
+
+def test_a_new_link_is_told_of_all_workers_in_parts(monkeypatch: Patch) -> None:
+    most, told = told_at_once(c.LEADER_PAUSE_S)
+    assert told == FLEET  # before a new leader decides anything
+    assert most < c.PEER_BUFFER_MAX / 2
+    monkeypatch.setattr(c, "LINK_PART", 10**9)
+    assert told_at_once(c.LEADER_PAUSE_S)[0] > c.PEER_BUFFER_MAX
+
+
+def test_deletions_and_signs_of_life_fit_their_frames() -> None:
+    e = owner_of_all()
+    names = [f"vm-{number:06d}" for number in range(c.GONE_MAX)]
+    assert FLEET < c.GONE_RESENT_MAX
+    e.workers.gone.update(dict.fromkeys(names, 0.0))
+    e.workers.gossip.on_peer_connected("n1")
+    e.workers.gossip._send_alive(list(e.workers.table), "n1")
+    sizes = [len(wire.encode(x.message)) for x in e.effects if isinstance(x, ev.PeerSend)]
+    assert max(sizes) < c.PEER_FRAME_MAX / 2
+
+
+# --- views, rentals, users ---------------------------------------------------------
+def test_a_view_holds_as_many_overrides_as_fit_a_value() -> None:
+    """A hundred at most, those of machines long gone among them, whatever the value holds."""
+    e = owner_of_all()
+    e.value_bytes = 14_000
+    wanted = {f"vm-{number:06d}": "n0" for number in range(250)}
+    e.membership.want_override = dict(wanted)
+    view = e.membership._next_view({"n0": "x.1"})
+    assert set(view.overrides) == set(wanted)
+    e.replica.put(VIEW, view.encode(), 2)
+    gone = sorted(wanted)[:100]
+    e.workers.set_gone(gone)
+    e.membership.want_override = {}
+    assert set(e.membership._next_view({"n0": "x.1"}).overrides) == set(wanted) - set(gone)
+    e.value_bytes = 3000
+    view = e.membership._next_view({"n0": "x.1"})
+    assert len(view.overrides) > 30 and len(wire.encode(view.encode())) <= 3000
+
+
+def test_one_job_is_demand_for_as_many_machines_as_it_needs(large_teams: None) -> None:
+    """Two hundred of its tasks counted, so that a job of 16,000 cores got fifty machines,
+    and fifty more only once those were up and full."""
+    e = engine()
+    e.teams = {"red": standins.settings("n0", ["n0"]).cluster.teams[0]}
+    e.replica.set_job(Job(spec(crates=4 * FLEET, owner="red", cores=1.0), 0.0, 2))
+    assert [item.tasks for item in queued_demand(e)] == [4 * FLEET]
+
+
+def test_connections_beyond_the_limit_are_told_to_come_again(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """They were reset without a word, to the worker, the user or the log."""
+
+    def handler(_m: str, _p: str, _q: str, _b: bytes, answer: Answer) -> None:
+        answer(200, b"{}", None)
+
+    async def ask(port: int) -> tuple[bytes, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+        return await asyncio.wait_for(reader.read(1000), 5), writer
+
+    async def body() -> None:
+        server = Server(handler, 2)
+        port = await server.start("127.0.0.1", 0)
+        try:
+            held = [await ask(port) for _ in range(2)]
+            assert all(answer.startswith(b"HTTP/1.1 200") for answer, _ in held)
+            refused, writer = await ask(port)
+            assert refused.startswith(b"HTTP/1.1 503") and b"Retry-After: 1" in refused
+            writer.close()
+            assert server.refused == 1
+            held[0][1].close()
+            await asyncio.sleep(0.05)
+            assert (await ask(port))[0].startswith(b"HTTP/1.1 200")
+        finally:
+            server.close()
+
+    asyncio.run(body())
+    assert "2 connections can be served, 1 were refused" in caplog.text
