Steps: queue order, pacing, hand-off and the writer of records are modules of their own

Now core/queue_order, core/pacing, core/handoff and core/job_writer beside it, with typed writes under way; no behaviour changes, draws of random numbers included. Tests follow the names, nothing else.

--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -22,6 +22,7 @@
 from appledock.core.jobs import Job
 from appledock.core.membership import Membership
 from appledock.core.objectives import Objectives
+from appledock.core.queue_order import QueueOrder
 from appledock.core.quota import Quota
 from appledock.core.replica import LIVE, Replica, View, key_kind
 from appledock.core.requests import Requests
@@ -82,6 +83,7 @@
         self.workers = Workers(self)
         self.rooms = Rooms(self)
         self.quota = Quota(self)
+        self.queue_order = QueueOrder(self)
         self.steps = Steps(self)
         self.cancels = Cancels(self)
         self.fleet = Fleet(self)
@@ -206,7 +208,7 @@
                 if job_id in replica.jobs:
                     self.fleet.note(replica.jobs[job_id])
                     if job_id in replica.needs.needs and job_id not in replica.needs.waiting:
-                        self.steps.ready_at.setdefault(job_id, self.wall)
+                        self.queue_order.ready_at.setdefault(job_id, self.wall)
                 self.steps.dirty.add(job_id)
             replica.changed_jobs.clear()
             for machine in replica.changed_machines:
--- a/appledock/core/forecast.py
+++ b/appledock/core/forecast.py
@@ -34,7 +34,7 @@
             if job_id in replica.jobs and job_id not in replica.cancelled
         ]
         found = [job for job in jobs if self._worthwhile(job) and self._due(job)]
-        return sorted(found, key=lambda job: (self.engine.steps.urgency(job), job.id))
+        return sorted(found, key=lambda job: (self.engine.queue_order.urgency(job), job.id))
 
     def _worthwhile(self, job: Job) -> bool:
         """Does anybody gain if the job starts a boot time sooner?
--- /dev/null
+++ b/appledock/core/handoff.py
@@ -0,0 +1,64 @@
+"""Which controller a step that lacks room is handed to."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock.core import placement
+from appledock.core.jobs import Job
+from appledock.core.placement import Room
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class HandOff:
+    """Picks the controller whose workers report most room."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.mine_since: dict[str, float] = {}
+        """job handed to us -> when we learned of it"""
+
+    def forget(self, job_id: str) -> None:
+        """The job is over, or another controller's."""
+        self.mine_since.pop(job_id, None)
+
+    def note_mine(self, job: Job) -> None:
+        """The job is ours now."""
+        if job.handoff:
+            self.mine_since.setdefault(job.id, self.engine.now)
+
+    def target(
+        self, job: Job, rooms: list[Room], left: int, gang: bool, zones: dict[str, int]
+    ) -> str | None:
+        """Name the controller for the `left` tasks; None: they stay here."""
+        view = self.engine.replica.view
+        assert view is not None
+        by_owner: dict[str, list[Room]] = {}
+        for room in rooms:
+            if room.owner != self.engine.settings.name and room.owner in view.members:
+                by_owner.setdefault(room.owner, []).append(room)
+        best = {
+            owner: fit
+            for owner, theirs in by_owner.items()
+            if (fit := placement.room_for(job.spec, theirs, zones))
+        }
+        if gang:
+            whole = {node: fit for node, fit in best.items() if fit >= left}
+            if whole:
+                return max(sorted(whole), key=whole.__getitem__)
+            everywhere = placement.room_for(job.spec, rooms, zones)
+            if everywhere >= left and view.leader != self.engine.settings.name:
+                return view.leader
+            return None
+        if not best:
+            return None
+        most = max(sorted(best), key=best.__getitem__)
+        # Passing a job round for a task here and a task there costs more writes than
+        # it saves waiting, since room is freed here as well.
+        worth = best[most] >= min(left, max(1, math.ceil(left * c.HANDOFF_SHARE)))
+        settled = self.engine.now - self.mine_since.get(job.id, -1e9) > c.HANDOFF_EVERY_S
+        return most if job.spec.service or (worth and settled) else None
--- a/appledock/core/heartbeats.py
+++ b/appledock/core/heartbeats.py
@@ -61,7 +61,7 @@
             writes=round(engine.budget.spent, 2),
             reporting=round(engine.workers.reporting(), 3),
             unanswered=engine.workers.unanswered_counts(),
-            pressed=engine.steps.pressed(),
+            pressed=engine.steps.pacing.pressed(),
         )
         engine.emit(PeerSend(heartbeat))
 
--- /dev/null
+++ b/appledock/core/job_writer.py
@@ -0,0 +1,255 @@
+"""Writes of job records and of teams' shares: conditional, one at a time for each job."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock import wire
+from appledock.core import placement
+from appledock.core.budget import Priority, Waiting
+from appledock.core.events import Drop, Put, StoreReply, TxnPlan
+from appledock.core.jobs import Job
+from appledock.core.replica import FINAL, JOBS, TEAMS, Team
+from appledock.core.rooms import Entry
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+log = logging.getLogger(__name__)
+
+TEAM_RECORD_UNDER_WAY = "team record under way"
+"""why a job waits, for the administration API"""
+
+
+@dataclass(frozen=True, slots=True)
+class JobWrite:
+    """A write of one job's record that is under way."""
+
+    job: Job
+    new: Job
+    over: str | None
+    team_record: Team | None
+    reserved: list[Entry]
+    ended: Callable[[str], None]
+    """takes back what the quota counts for the write; called with its outcome"""
+
+
+class JobWriter:
+    """Writes completions, steps and charges, and hears how that went."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.busy: set[str] = set()
+        """jobs with a write under way"""
+        self.calls: dict[str, Waiting] = {}
+        """job -> its write, perhaps still waiting"""
+        self.retry_at: dict[str, float] = {}
+        self.written_at: dict[str, float] = {}
+        self.invalid: dict[str, int] = {}
+        """job -> writes in a row that the state service refused as malformed or too large"""
+
+    def forget(self, job_id: str) -> None:
+        """The job is over."""
+        for table in (self.retry_at, self.written_at):
+            table.pop(job_id, None)
+        self.invalid.pop(job_id, None)
+
+    def ready(self, job: Job) -> bool:
+        """May the job be written now?"""
+        return job.id not in self.busy and self.engine.now >= self.retry_at.get(job.id, 0.0)
+
+    def over(self, job: Job) -> str | None:
+        """Say how the job has ended, if it has."""
+        if job.cancelled or job.id in self.engine.replica.needs.doomed:
+            return wire.CANCELLED if not job.attempts else None
+        if not job.spec.service and len(job.done) == job.spec.tasks:
+            return wire.DONE
+        return None
+
+    def commit(
+        self,
+        job: Job,
+        new: Job,
+        priority: Priority,
+        reserved: list[Entry] | None = None,
+    ) -> bool:
+        """Write completion, next step and the team's charge in one conditional transaction."""
+        engine, team = self.engine, job.spec.team
+        over = self.over(new)
+        heir = engine.replica.job_owner(new)
+        possible, record = engine.quota.plan(job, new, heir)
+        if not possible:
+            engine.steps.later.add(job.id)
+            engine.steps.blocked[job.id] = TEAM_RECORD_UNDER_WAY
+            return False
+        if record is not None and heir == engine.settings.name and engine.steps.pacing.crowded():
+            # A step that waits for its write meets the others' changes of the record, and
+            # is then placed anew: the share is raised first, by itself. Never where the job
+            # is handed on: its charge goes along with it, or the heir's share would hold
+            # what still runs here.
+            self._write_team(team, record, Priority.URGENT)
+            engine.steps.blocked[job.id] = TEAM_RECORD_UNDER_WAY
+            return False
+        plan = self._plan(job, new, over, record)
+        self.busy.add(job.id)
+        if reserved:
+            engine.rooms.reserve(job.id, reserved)
+        ended = engine.quota.begin(job, new, team, record)
+        write = JobWrite(job, new, over, record, reserved or [], ended)
+        patience = c.STEP_PATIENCE_S if over or priority >= Priority.STEP else c.PATIENCE_S
+        call = engine.store(
+            "txn", (plan,), priority, lambda reply: self._on_reply(write, reply), patience
+        )
+        if call is not None:
+            self.calls[job.id] = call
+        return call is not None
+
+    def _plan(self, job: Job, new: Job, over: str | None, record: Team | None) -> TxnPlan:
+        """Build the transaction: the job's record or its end, and the team's record."""
+        plan = TxnPlan(self.engine.membership.conditions())
+        plan.conditions[JOBS + job.id] = job.version
+        if over:
+            plan.writes += [Drop(JOBS + job.id), Put(FINAL + job.id, {"state": over})]
+        else:
+            plan.writes.append(Put(JOBS + job.id, self.engine.record(self.engine.slim(new))))
+        if record is not None:
+            plan.conditions[TEAMS + job.spec.team] = record.version
+            plan.writes.append(Put(TEAMS + job.spec.team, record.encode()))
+        return plan
+
+    def _on_reply(self, write: JobWrite, reply: StoreReply) -> None:
+        engine, job_id = self.engine, write.job.id
+        self.busy.discard(job_id)
+        self.calls.pop(job_id, None)
+        engine.rooms.release(job_id)
+        write.ended(reply.outcome)
+        engine.queue_dirty = True
+        engine.steps.dirty.add(job_id)
+        if reply.outcome == "ok":
+            self._on_written(write, reply.data.revision)
+        else:
+            self.retry_at[job_id] = engine.now + self._pause_after(write, reply)
+
+    def _on_written(self, write: JobWrite, revision: int) -> None:
+        engine, job, new = self.engine, write.job, write.new
+        self.written_at[job.id] = engine.now
+        self.invalid.pop(job.id, None)
+        engine.steps.preemption.placed(job.id, write.reserved)
+        if write.reserved:
+            _log_step(write)
+        if write.over:
+            engine.replica.put(FINAL + job.id, {"state": write.over}, revision)
+            engine.replica.drop(JOBS + job.id, revision)
+            engine.note_final(job, write.over)
+        else:
+            new.version = revision
+            engine.replica.set_job(new)
+            self._back_off(job, new)
+        if write.team_record is not None:
+            self._team_written(job.spec.team, write.team_record, revision)
+
+    def _pause_after(self, write: JobWrite, reply: StoreReply) -> float:
+        """Seconds until the job is decided anew after a write that did not succeed."""
+        engine, job = self.engine, write.job
+        pause = c.RETRY_MIN_S + engine.rng.random() * (c.RETRY_MAX_S - c.RETRY_MIN_S)
+        if reply.outcome == "conflict":
+            engine.read_keys(reply.data.failed)
+            return c.RETRY_MIN_S * engine.rng.random()
+        if reply.outcome == "unknown":
+            # It may be applied, now or later: read before acting on either.
+            team_keys = [TEAMS + job.spec.team] if write.team_record else []
+            engine.read_keys([JOBS + job.id, *team_keys])
+        elif reply.outcome == "invalid":
+            # Too large, most likely: it may fit now that the bound is lower. If not,
+            # seldom, since each try costs the others their turn.
+            tries = self.invalid[job.id] = self.invalid.get(job.id, 0) + 1
+            engine.steps.blocked[job.id] = "record refused by the state service"
+            return float(min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(10, tries - 1)))
+        return pause
+
+    def withdraw(self, job_id: str) -> bool:
+        """Take back a write that still waits for the state service's limit.
+
+        Something more urgent changes the same record, or needs the room that it reserves.
+        """
+        call = self.calls.get(job_id)
+        if (
+            call is None
+            or call.priority <= Priority.URGENT
+            or not self.engine.budget.withdraw(call)
+        ):
+            return False
+        call.done(StoreReply(0, "refused"))
+        self.retry_at[job_id] = self.engine.now
+        return True
+
+    def take_back(self, job: Job) -> bool:
+        """Steps of lower rank that are not written yet make way for a service."""
+        taken = False
+        for other_id, entries in list(self.engine.rooms.reserved.items()):
+            other = self.engine.replica.jobs.get(other_id)
+            if (
+                other is not None
+                and self.engine.rank(other) < self.engine.rank(job)
+                and any(
+                    (room := self.engine.rooms.table.get(machine)) is not None
+                    and placement.allowed_on(job.spec, room)
+                    for machine, _, _ in entries
+                )
+            ):
+                taken = self.withdraw(other_id) or taken
+        return taken
+
+    def _team_written(self, team: str, record: Team, revision: int) -> None:
+        self.engine.quota.sure[team] = revision
+        self.engine.replica.put(TEAMS + team, record.encode(), revision)
+        self.engine.quota.forget(team)
+
+    def release_shares(self) -> None:
+        """Give up shares of teams' limits that more urgent jobs of others lack."""
+        quota = self.engine.quota
+        for team in self.engine.replica.by_team:
+            surplus = quota.surplus(team)
+            if not surplus.some() or team in quota.writing:
+                continue
+            self._write_team(team, quota.lower(team, surplus), Priority.STEP)
+
+    def _write_team(self, team: str, record: Team, priority: Priority) -> None:
+        """Change the shares of a team's limit without a step."""
+        plan = TxnPlan(self.engine.membership.conditions(), [Put(TEAMS + team, record.encode())])
+        plan.conditions[TEAMS + team] = record.version
+        ended = self.engine.quota.begin(None, None, team, record)
+
+        def done(reply: StoreReply) -> None:
+            ended(reply.outcome)
+            self.engine.queue_dirty = True
+            if reply.outcome == "ok":
+                self._team_written(team, record, reply.data.revision)
+            elif reply.outcome in ("conflict", "unknown"):
+                self.engine.read_keys([TEAMS + team])
+
+        self.engine.store("txn", (plan,), priority, done)
+
+    def _back_off(self, job: Job, new: Job) -> None:
+        """A job that fails everywhere waits longer and longer."""
+        if new.failures > job.failures:
+            pause = min(
+                c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(10, max(0, new.failures - 2))
+            )
+            if new.failures >= 2:
+                self.retry_at[job.id] = self.engine.now + pause
+
+
+def _log_step(write: JobWrite) -> None:
+    handed_on = write.new.handoff if write.new.handoff != write.job.handoff else None
+    log.info(
+        "%s step %d: %s%s",
+        write.job.id,
+        write.new.steps,
+        ", ".join(f"{count} on {machine}" for machine, _, count in write.reserved),
+        f", rest to {handed_on[0]}" if handed_on else "",
+    )
--- /dev/null
+++ b/appledock/core/pacing.py
@@ -0,0 +1,84 @@
+"""How often steps are placed and finished tasks recorded, by what writes are left."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from appledock import constants as c
+from appledock.core.budget import Priority
+from appledock.core.jobs import Job
+
+if TYPE_CHECKING:
+    from appledock.core.engine import Engine
+
+
+class Pacing:
+    """Spends the state service's writes where they are felt most."""
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.gathering: dict[str, float] = {}
+        """array -> since when it waits for room for a larger step"""
+        self.held_back = math.inf
+        """since when arrays wait for the writes of users and services"""
+
+    def forget(self, job_id: str) -> None:
+        """The job is over, or its step is under way."""
+        self.gathering.pop(job_id, None)
+
+    def crowded(self) -> bool:
+        """Do steps wait for the state service's limit?"""
+        return self.engine.budget.waiting(Priority.STEP) > c.CROWDED
+
+    def pressed(self) -> bool:
+        """Do services wait for the state service's limit?
+
+        Then passing one on for an image costs others more than it saves: two writes instead
+        of one.
+        """
+        return self.engine.budget.waiting(Priority.URGENT) > c.CROWDED
+
+    def gather_pause(self) -> float:
+        """Seconds until arrays are placed again."""
+        if self.crowded():
+            return c.GATHER_CROWDED_S
+        return c.GATHER_SPARE_S if self.engine.budget.spare_writes() else c.GATHER_S
+
+    def hold_back(self) -> bool:
+        """Must arrays wait, for a while, until users and services have got their writes?
+
+        Ours, or those of another controller: steps of arrays would only keep room and writes
+        from them.
+        """
+        if not self.pressed() and not self.engine.heartbeats.others_pressed():
+            self.held_back = math.inf
+            return False
+        self.held_back = min(self.held_back, self.engine.now)
+        if self.engine.now - self.held_back < c.HOLD_BACK_S:
+            return True
+        self.held_back = self.engine.now
+        return False
+
+    def progress_every(self, job: Job) -> float:
+        """Seconds between two lists of finished tasks of the job."""
+        team = job.spec.team
+        if self.engine.quota.exhausted(team) or any(
+            self.engine.steps.blocked.get(other) == "team limit"
+            for other in self.engine.replica.by_team.get(team, ())
+        ):
+            return c.PROGRESS_SPARE_S if self.engine.budget.spare_writes() else c.PROGRESS_EVERY_S
+        return c.PROGRESS_CROWDED_S if self.crowded() else c.PROGRESS_RELAXED_S
+
+    def gathers(self, job: Job, rest: Job, tasks: int) -> bool:
+        """Does the array wait for more room, for a bounded time?
+
+        So it does if writes lack and the step would be a small one.
+        """
+        if job.spec.service or job.spec.gang or not self.crowded():
+            return False
+        if tasks >= min(rest.queued, c.GATHER_TASKS):
+            return False
+        return (
+            self.engine.now - self.gathering.setdefault(job.id, self.engine.now) < c.GATHER_STEP_S
+        )
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import logging
-import math
 from typing import TYPE_CHECKING, Any
 
 from appledock import constants as c
 from appledock import wire
 from appledock.core import placement
-from appledock.core.budget import Priority, Waiting
-from appledock.core.events import Drop, Put, StoreReply, TxnPlan
+from appledock.core.budget import Priority
+from appledock.core.handoff import HandOff
+from appledock.core.job_writer import JobWriter
 from appledock.core.jobs import Attempt, Job
+from appledock.core.pacing import Pacing
 from appledock.core.placement import Room
 from appledock.core.preemption import Preemption
-from appledock.core.replica import FINAL, JOBS, TEAMS, Team
 from appledock.core.settlement import Settlement
 
 if TYPE_CHECKING:
@@ -30,36 +30,23 @@
         self.e = engine
         self.changed_workers: set[str] = set()
         self.dirty: set[str] = set()
-        self.busy: set[str] = set()
-        self.calls: dict[str, Waiting] = {}
-        """job -> its write, perhaps still waiting"""
         self.later: set[str] = set()
         """jobs to be looked at again soon"""
         self.next_later = 0.0
-        self.retry_at: dict[str, float] = {}
-        self.written_at: dict[str, float] = {}
         self.lost_since: dict[str, float] = {}
         self.stops: dict[str, dict[str, set[int]]] = {}
         """job -> machine -> tasks that are to be stopped there"""
-        self.invalid: dict[str, int] = {}
-        """job -> writes in a row that the state service refused as malformed or too large"""
         self.blocked: dict[str, str] = {}
         """job -> why its queued tasks wait, for the administration API"""
-        self.ready_at: dict[str, float] = {}
-        """job that needed others -> time of day when the last of them was done, as far as
-        we saw"""
         self.freed: dict[str, float] = {}
         """job -> since when it has lost tasks that are not recorded as lost yet"""
         self.settlement = Settlement(engine)
-        self.gathering: dict[str, float] = {}
-        """array -> since when it waits for room for a larger step"""
         self.preemption = Preemption(engine)
+        self.writer = JobWriter(engine)
+        self.handoff = HandOff(engine)
+        self.pacing = Pacing(engine)
         self.next_queue = 0.0
         self.next_arrays = 0.0
-        self.held_back = math.inf
-        """since when arrays wait for the writes of users and services"""
-        self.mine_since: dict[str, float] = {}
-        """job handed to us -> when we learned of it"""
         self.next_sweep = 0.0
         self.next_release = 0.0
 
@@ -89,7 +76,7 @@
                 self.e.queue_dirty = True
         if self.e.now >= self.next_release:
             self.next_release = self.e.now + c.RELEASE_EVERY_S
-            self._release_shares()
+            self.writer.release_shares()
         if self.later and self.e.now >= self.next_later:
             self.next_later = self.e.now + c.QUEUE_EVERY_S
             self.dirty |= self.later
@@ -100,11 +87,10 @@
             if job is None:
                 self._clear(job_id)
             elif self.e.owns_job(job):
-                if job.handoff and job.id not in self.mine_since:
-                    self.mine_since[job.id] = self.e.now
+                self.handoff.note_mine(job)
                 self._settle(job)
             else:
-                self.mine_since.pop(job_id, None)
+                self.handoff.forget(job_id)
                 # Kept, a wish would stop whatever runs there once the job is ours again.
                 self.stops.pop(job_id, None)
         if self.e.now >= self.next_queue and self.e.queue_dirty:
@@ -112,53 +98,20 @@
             self.e.queue_dirty = False
             self._place_all()
 
-    def _crowded(self) -> bool:
-        """Do steps wait for the state service's limit?"""
-        return self.e.budget.waiting(Priority.STEP) > c.CROWDED
-
-    def pressed(self) -> bool:
-        """Do services wait for the state service's limit? Then passing one on for an
-        image costs others more than it saves: two writes instead of one."""
-        return self.e.budget.waiting(Priority.URGENT) > c.CROWDED
-
-    def _gather_pause(self) -> float:
-        """s until arrays are placed again."""
-        if self._crowded():
-            return c.GATHER_CROWDED_S
-        return c.GATHER_SPARE_S if self.e.budget.spare_writes() else c.GATHER_S
-
-    def _hold_back(self) -> bool:
-        """Do users and services, ours or another controller's, wait for so many writes
-        that steps of arrays would only keep room and writes from them? Not for longer
-        than a while."""
-        if not self.pressed() and not self.e.heartbeats.others_pressed():
-            self.held_back = math.inf
-            return False
-        self.held_back = min(self.held_back, self.e.now)
-        if self.e.now - self.held_back < c.HOLD_BACK_S:
-            return True
-        self.held_back = self.e.now
-        return False
-
     def _clear(self, job_id: str) -> None:
         tables: tuple[dict[str, Any], ...] = (
-            self.retry_at,
-            self.written_at,
             self.lost_since,
             self.blocked,
             self.stops,
-            self.mine_since,
             self.freed,
-            self.ready_at,
-            self.invalid,
-            self.gathering,
         )
         for table in tables:
             table.pop(job_id, None)
         self.settlement.forget(job_id)
-
-    def _ready(self, job: Job) -> bool:
-        return job.id not in self.busy and self.e.now >= self.retry_at.get(job.id, 0.0)
+        self.handoff.forget(job_id)
+        self.writer.forget(job_id)
+        self.pacing.forget(job_id)
+        self.e.queue_order.forget(job_id)
 
     def _watch_lost(self) -> None:
         """Stopped attempts that never showed up on their worker: a launch may
@@ -193,7 +146,7 @@
         leave machines half cleared.
         """
         self.stops.setdefault(job_id, {}).setdefault(machine, set()).update(tasks)
-        self._withdraw(job_id)
+        self.writer.withdraw(job_id)
         self.dirty.add(job_id)
 
     def _apply_stops(self, job: Job) -> bool:
@@ -216,18 +169,18 @@
 
     # --- settling ---------------------------------------------------------
     def _settle(self, job: Job) -> None:
-        if not self._ready(job):
+        if not self.writer.ready(job):
             # Those cancelled with another one too: refused once, their end was never
             # written, since nothing else happens to them.
             if job.attempts or self.e.replica.withdrawn(job.id):
                 self.later.add(job.id)
             return
         new = self.settlement.settled(job)
-        over = self._over(new or job)
+        over = self.writer.over(new or job)
         if job.id in self.stops and not over:
             stopped = self.settlement.apply(job)
             if self._apply_stops(stopped):
-                self._commit(job, stopped, Priority.URGENT)
+                self.writer.commit(job, stopped, Priority.URGENT)
                 return
         if new is None or new.queued <= job.queued:
             self.freed.pop(job.id, None)
@@ -237,26 +190,18 @@
         if over:
             # Other jobs can start only once this end is written.
             needed = job.id in self.e.replica.needs.dependents
-            self._commit(
+            self.writer.commit(
                 job, self.settlement.apply(job), Priority.URGENT if needed else Priority.FINAL
             )
         elif new is not None and new.queued > job.queued and self._step_first(job.id):
             self.later.add(job.id)
-        elif self.e.now >= self.written_at.get(job.id, -1e9) + self._progress_every(job):
-            self._commit(job, self.settlement.apply(job), Priority.PROGRESS)
+        elif self.e.now >= self.writer.written_at.get(job.id, -1e9) + self.pacing.progress_every(
+            job
+        ):
+            self.writer.commit(job, self.settlement.apply(job), Priority.PROGRESS)
         else:
             self.later.add(job.id)
 
-    def _progress_every(self, job: Job) -> float:
-        """s between two lists of finished tasks of the job."""
-        team = job.spec.team
-        if self.e.quota.exhausted(team) or any(
-            self.blocked.get(other) == "team limit"
-            for other in self.e.replica.by_team.get(team, ())
-        ):
-            return c.PROGRESS_SPARE_S if self.e.budget.spare_writes() else c.PROGRESS_EVERY_S
-        return c.PROGRESS_CROWDED_S if self._crowded() else c.PROGRESS_RELAXED_S
-
     def _step_first(self, job_id: str) -> bool:
         """Lost tasks go again in the very write that records them as lost.
 
@@ -266,48 +211,7 @@
         """
         return self.e.now - self.freed.setdefault(job_id, self.e.now) < c.STEP_FIRST_S
 
-    def _over(self, job: Job) -> str | None:
-        if job.cancelled or job.id in self.e.replica.needs.doomed:
-            return wire.CANCELLED if not job.attempts else None
-        if not job.spec.service and len(job.done) == job.spec.tasks:
-            return wire.DONE
-        return None
-
     # --- placing ----------------------------------------------------------
-    def since(self, job: Job) -> float:
-        """Time of day from which the job waits for being served."""
-        return self.ready_at.get(job.id, job.submitted)
-
-    def urgency(self, job: Job) -> tuple[float, ...]:
-        """Classes first: guarantee, rank, then slack and age inside the class. A job that
-        others need has the highest rank of them, and their ends less what they take."""
-        rank, end = self.e.replica.needs.pressing(job)
-        since = self.since(job)
-        waited = self.e.wall - since
-        if waited > self.e.objectives.aged(job.spec) and not job.attempts and not job.done:
-            # Ageing: first within its rank, later before all: every job begins. One
-            # whose tasks were all stopped again to make room has not begun.
-            return (-1 if waited > c.OVERDUE_S else 0, -rank, -1, since)
-        inside = self.e.quota.inside(job)
-        ends = [since + limit for limit in self.e.objectives.finished_in(job.spec)]
-        if job.spec.deadline_s is not None:
-            ends += [job.submitted + limit for limit in self.e.objectives.deadlines(job.spec)]
-        elif end < job.deadline():
-            ends.append(end)
-        if job.spec.service or not ends:
-            return (0 if inside else 1, -rank, 0, since)
-        # More asked than can be done: first the class of jobs that can still meet
-        # the first limit that an aim names, their deadline, then those that can meet
-        # the next one, then the rest; inside a class what is nearest to being finished.
-        over = self.e.wall + job.spec.estimate_s
-        hope = sum(over > end for end in ends)
-        if hope == len(ends):
-            # Too late for every aim: in order of age, so that none waits for ever, and
-            # none that can still be in time waits for it.
-            return (0 if inside else 1, -rank, hope, since)
-        left = (job.spec.tasks - len(job.done)) * max(job.spec.estimate_s, 1.0)
-        return (0 if inside else 1, -rank, hope, left * max(job.spec.cpus, 0.1))
-
     def _place_all(self) -> None:
         replica = self.e.replica
         waiting = [
@@ -322,10 +226,10 @@
         ]
         # Room that running tasks free comes by and by: gathered for a moment, it is
         # taken by one job in one step, not by each in one of its own.
-        arrays = bool(waiting) and self.e.now >= self.next_arrays and not self._hold_back()
+        arrays = bool(waiting) and self.e.now >= self.next_arrays and not self.pacing.hold_back()
         if arrays:
-            self.next_arrays = self.e.now + self._gather_pause()
-        ready = [job for job in waiting if self._ready(job) and (arrays or job.spec.service)]
+            self.next_arrays = self.e.now + self.pacing.gather_pause()
+        ready = [job for job in waiting if self.writer.ready(job) and (arrays or job.spec.service)]
         if len(ready) < len(waiting):
             self.e.queue_dirty = True
         if not ready:
@@ -335,8 +239,8 @@
         own = [room for room in rooms if room.owner == self.e.settings.name]
         self.preemption.refresh()
         full = _Full()
-        for job in sorted(ready, key=lambda job: (self.urgency(job), job.id)):
-            if not self._ready(job):
+        for job in sorted(ready, key=lambda job: (self.e.queue_order.urgency(job), job.id)):
+            if not self.writer.ready(job):
                 self.e.queue_dirty = True  # a step of another one took its write back
                 continue
             if full.covers(job.spec, self.e.rank(job)):
@@ -380,11 +284,11 @@
         used = dict(zones or {})
         for room, number in placed:
             used[room.zone] = used.get(room.zone, 0) + number
-        handoff = self._hand_off(job, rooms, left, job.spec.gang, used) if left else None
+        handoff = self.handoff.target(job, rooms, left, job.spec.gang, used) if left else None
         if (
             placed
             and handoff is None
-            and self._gathers(job, rest, sum(number for _, number in placed))
+            and self.pacing.gathers(job, rest, sum(number for _, number in placed))
         ):
             self.blocked[job.id] = "gathering room"
             self.e.queue_dirty = True
@@ -396,7 +300,7 @@
             if handoff is None:
                 return False
         self.blocked.pop(job.id, None)
-        self.gathering.pop(job.id, None)
+        self.pacing.forget(job.id)
         return self._request_step(job, rest, placed, handoff)
 
     def _step_size(self, job: Job, rest: Job) -> int:
@@ -406,15 +310,6 @@
             return rest.queued if most >= rest.queued else 0
         return min(rest.queued, most, int(self.e.admin["step_tasks"]))
 
-    def _gathers(self, job: Job, rest: Job, tasks: int) -> bool:
-        """Writes lack, and the step would be a small one: the array waits for more room,
-        for a bounded time."""
-        if job.spec.service or job.spec.gang or not self._crowded():
-            return False
-        if tasks >= min(rest.queued, c.GATHER_TASKS):
-            return False
-        return self.e.now - self.gathering.setdefault(job.id, self.e.now) < c.GATHER_STEP_S
-
     def _within_team(self, job: Job, zones: dict[str, int]) -> bool:
         """The team's limit lacks: its own work of lower rank makes room, here or elsewhere."""
         if job.spec.gang:
@@ -431,7 +326,7 @@
         if better is None or better == self.e.settings.name:
             return better
         here = any(room.fits(job.spec) and placement.allowed_on(job.spec, room) for room in own)
-        return None if here and self.pressed() else better
+        return None if here and self.pacing.pressed() else better
 
     def _find_room(
         self, job: Job, count: int, rooms: list[Room], own: list[Room], zones: dict[str, int]
@@ -447,7 +342,7 @@
     def _without_room(self, job: Job, count: int, zones: dict[str, int] | None) -> str | None:
         """No controller has room: make some. The controller whose machines could be
         cleared, if none of ours can."""
-        if job.spec.service and self._take_back(job):
+        if job.spec.service and self.writer.take_back(job):
             self.blocked[job.id] = "room is being made"
             self.e.queue_dirty = True
             return None
@@ -489,7 +384,7 @@
                 return False
             return self._commit_part(job, new, placed)
         reserved = [(room.machine, job.spec, number) for room, number in placed]
-        if self._commit(job, new, self._priority(job), reserved):
+        if self.writer.commit(job, new, self._priority(job), reserved):
             return True
         for machine, _, _ in reserved:
             self.e.rooms.touch(machine)
@@ -504,7 +399,7 @@
         if not placed:
             self.blocked[job.id] = "record full"
             return False
-        return self._commit(
+        return self.writer.commit(
             job,
             new,
             self._priority(job),
@@ -521,7 +416,7 @@
         assert view is not None
         new = self.settlement.apply(job)
         new.handoff = (node, view.members[node])
-        return self._commit(job, new, self._priority(job))
+        return self.writer.commit(job, new, self._priority(job))
 
     def zones(self, job: Job) -> dict[str, int] | None:
         """Unsettled tasks by zone; None if a machine's zone is not known."""
@@ -533,197 +428,6 @@
             zones[zone] = zones.get(zone, 0) + len(attempt.tasks)
         return zones
 
-    def _hand_off(
-        self, job: Job, rooms: list[Room], left: int, gang: bool, zones: dict[str, int]
-    ) -> str | None:
-        """The controller whose workers report most room for the rest."""
-        view = self.e.replica.view
-        assert view is not None
-        by_owner: dict[str, list[Room]] = {}
-        for room in rooms:
-            if room.owner != self.e.settings.name and room.owner in view.members:
-                by_owner.setdefault(room.owner, []).append(room)
-        best = {
-            owner: fit
-            for owner, theirs in by_owner.items()
-            if (fit := placement.room_for(job.spec, theirs, zones))
-        }
-        if gang:
-            whole = {node: fit for node, fit in best.items() if fit >= left}
-            if whole:
-                return max(sorted(whole), key=whole.__getitem__)
-            everywhere = placement.room_for(job.spec, rooms, zones)
-            if everywhere >= left and view.leader != self.e.settings.name:
-                return view.leader
-            return None
-        if not best:
-            return None
-        most = max(sorted(best), key=best.__getitem__)
-        # Passing a job round for a task here and a task there costs more writes than
-        # it saves waiting, since room is freed here as well.
-        worth = best[most] >= min(left, max(1, math.ceil(left * c.HANDOFF_SHARE)))
-        settled = self.e.now - self.mine_since.get(job.id, -1e9) > c.HANDOFF_EVERY_S
-        return most if job.spec.service or (worth and settled) else None
-
-    # --- writing ----------------------------------------------------------
-    def _commit(
-        self,
-        job: Job,
-        new: Job,
-        priority: Priority,
-        reserved: list[tuple[str, wire.JobSpec, int]] | None = None,
-    ) -> bool:
-        """Completion, next step and the team's charge in one conditional write."""
-        plan = TxnPlan(self.e.membership.conditions())
-        plan.conditions[JOBS + job.id] = job.version
-        over = self._over(new)
-        if over:
-            plan.writes += [Drop(JOBS + job.id), Put(FINAL + job.id, {"state": over})]
-        else:
-            plan.writes.append(Put(JOBS + job.id, self.e.record(self.e.slim(new))))
-        team = job.spec.team
-        heir = self.e.replica.job_owner(new)
-        good, record = self.e.quota.plan(job, new, heir)
-        if not good:
-            self.blocked[job.id] = "team record under way"
-            self.later.add(job.id)
-            return False
-        if record is not None and heir == self.e.settings.name and self._crowded():
-            # A step that waits for its write meets the others' changes of the record, and
-            # is then placed anew: the share is raised first, by itself. Never where the job
-            # is handed on: its charge goes along with it, or the heir's share would hold
-            # what still runs here.
-            self._write_team(team, record, Priority.URGENT)
-            self.blocked[job.id] = "team record under way"
-            return False
-        if record is not None:
-            plan.conditions[TEAMS + team] = record.version
-            plan.writes.append(Put(TEAMS + team, record.encode()))
-        self.busy.add(job.id)
-        if reserved:
-            self.e.rooms.reserve(job.id, reserved)
-        ended = self.e.quota.begin(job, new, team, record)
-
-        def done(reply: StoreReply) -> None:
-            self.busy.discard(job.id)
-            self.calls.pop(job.id, None)
-            self.e.rooms.release(job.id)
-            ended(reply.outcome)
-            self.e.queue_dirty = True
-            self.dirty.add(job.id)
-            if reply.outcome == "ok":
-                revision = reply.data.revision
-                self.written_at[job.id] = self.e.now
-                self.invalid.pop(job.id, None)
-                self.preemption.placed(job.id, reserved or [])
-                if reserved:
-                    log.info(
-                        "%s step %d: %s%s",
-                        job.id,
-                        new.steps,
-                        ", ".join(f"{count} on {machine}" for machine, _, count in reserved),
-                        f", rest to {new.handoff[0]}"
-                        if new.handoff != job.handoff and new.handoff
-                        else "",
-                    )
-                if over:
-                    self.e.replica.put(FINAL + job.id, {"state": over}, revision)
-                    self.e.replica.drop(JOBS + job.id, revision)
-                    self.e.note_final(job, over)
-                else:
-                    new.version = revision
-                    self.e.replica.set_job(new)
-                    self._back_off(job, new)
-                if record is not None:
-                    self._team_written(team, record, revision)
-                return
-            pause = c.RETRY_MIN_S + self.e.rng.random() * (c.RETRY_MAX_S - c.RETRY_MIN_S)
-            if reply.outcome == "conflict":
-                pause = c.RETRY_MIN_S * self.e.rng.random()
-                self.e.read_keys(reply.data.failed)
-            elif reply.outcome == "unknown":
-                # It may be applied, now or later: read before acting on either.
-                self.e.read_keys([JOBS + job.id] + ([TEAMS + team] if record else []))
-            elif reply.outcome == "invalid":
-                # Too large, most likely: it may fit now that the bound is lower. If not,
-                # seldom, since each try costs the others their turn.
-                tries = self.invalid[job.id] = self.invalid.get(job.id, 0) + 1
-                self.blocked[job.id] = "record refused by the state service"
-                pause = min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(10, tries - 1))
-            self.retry_at[job.id] = self.e.now + pause
-
-        patience = c.STEP_PATIENCE_S if over or priority >= Priority.STEP else c.PATIENCE_S
-        call = self.e.store("txn", (plan,), priority, done, patience)
-        if call is not None:
-            self.calls[job.id] = call
-        return call is not None
-
-    def _withdraw(self, job_id: str) -> bool:
-        """Take back a write that still waits for the state service's limit: something
-        more urgent changes the same record, or needs the room that it reserves."""
-        call = self.calls.get(job_id)
-        if call is None or call.priority <= Priority.URGENT or not self.e.budget.withdraw(call):
-            return False
-        call.done(StoreReply(0, "refused"))
-        self.retry_at[job_id] = self.e.now
-        return True
-
-    def _take_back(self, job: Job) -> bool:
-        """Steps of lower rank that are not written yet make way for a service."""
-        taken = False
-        for other_id, entries in list(self.e.rooms.reserved.items()):
-            other = self.e.replica.jobs.get(other_id)
-            if (
-                other is not None
-                and self.e.rank(other) < self.e.rank(job)
-                and any(
-                    (room := self.e.rooms.table.get(machine)) is not None
-                    and placement.allowed_on(job.spec, room)
-                    for machine, _, _ in entries
-                )
-            ):
-                taken = self._withdraw(other_id) or taken
-        return taken
-
-    def _team_written(self, team: str, record: Team, revision: int) -> None:
-        self.e.quota.sure[team] = revision
-        self.e.replica.put(TEAMS + team, record.encode(), revision)
-        self.e.quota.forget(team)
-
-    def _release_shares(self) -> None:
-        """Give up shares of teams' limits that more urgent jobs of others lack."""
-        quota = self.e.quota
-        for team in self.e.replica.by_team:
-            surplus = quota.surplus(team)
-            if not surplus.some() or team in quota.writing:
-                continue
-            self._write_team(team, quota.lower(team, surplus), Priority.STEP)
-
-    def _write_team(self, team: str, record: Team, priority: Priority) -> None:
-        """Change the shares of a team's limit without a step."""
-        plan = TxnPlan(self.e.membership.conditions(), [Put(TEAMS + team, record.encode())])
-        plan.conditions[TEAMS + team] = record.version
-        ended = self.e.quota.begin(None, None, team, record)
-
-        def done(reply: StoreReply) -> None:
-            ended(reply.outcome)
-            self.e.queue_dirty = True
-            if reply.outcome == "ok":
-                self._team_written(team, record, reply.data.revision)
-            elif reply.outcome in ("conflict", "unknown"):
-                self.e.read_keys([TEAMS + team])
-
-        self.e.store("txn", (plan,), priority, done)
-
-    def _back_off(self, job: Job, new: Job) -> None:
-        """A job that fails everywhere waits longer and longer."""
-        if new.failures > job.failures:
-            pause = min(
-                c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(10, max(0, new.failures - 2))
-            )
-            if new.failures >= 2:
-                self.retry_at[job.id] = self.e.now + pause
-
 
 class _Full:
     """Sizes that found no room in this pass, by what the jobs allow."""
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -449,7 +449,7 @@
         [ev.StoreReply(read.tag, "ok", wire.Row(FINAL + "job-1", {"state": "done"}, 2))], 100.3, 0.0
     )
     assert "job-2" in e.replica.queued
-    assert e.steps.ready_at["job-2"] == e.wall
+    assert e.queue_order.ready_at["job-2"] == e.wall
 
 
 def test_what_a_job_waits_for_is_shown() -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -315,16 +315,16 @@
     quick = Job(spec(id="job-2", crates=1, sail_s=60.0, eta_s=30.0), 80.0)
     late = Job(spec(id="job-3", crates=1, sail_s=20.0, eta_s=30.0), 50.0)
     service = Job(spec(id="job-4", shape="daemon", rank="production", crates=1), 99.0)
-    order = sorted([late, hopeful, service, quick], key=e.steps.urgency)
+    order = sorted([late, hopeful, service, quick], key=e.queue_order.urgency)
     assert [job.id for job in order] == ["job-4", "job-2", "job-1", "job-3"]
     # Ageing: of two that are too late the older; what has not begun within a minute
     # goes first in its rank, and in the end before all.
     older = Job(spec(id="job-5", crates=2, sail_s=20.0, eta_s=30.0), 45.0)
     aged = Job(spec(id="job-6", crates=90, sail_s=20.0, eta_s=30.0), 30.0)
-    order = sorted([late, older, aged, service, quick], key=e.steps.urgency)
+    order = sorted([late, older, aged, service, quick], key=e.queue_order.urgency)
     assert [job.id for job in order] == ["job-4", "job-6", "job-2", "job-5", "job-3"]
     e.wall = 190.0
-    assert e.steps.urgency(aged) < e.steps.urgency(service)
+    assert e.queue_order.urgency(aged) < e.queue_order.urgency(service)
 
 
 @pytest.mark.parametrize(
@@ -374,7 +374,7 @@
     e = engine()
     job = Job(spec(crates=4), 0, 5)
     job.attempts.append(Attempt("vm-1", 1, 1, 1, False, {0, 1, 2}))
-    e.steps.busy.add(job.id)
+    e.steps.writer.busy.add(job.id)
     e.steps.stop(job.id, "vm-1", {0})
     e.steps.stop(job.id, "vm-1", {2})
     assert e.steps._apply_stops(job)
@@ -476,13 +476,13 @@
 
 def test_arrays_hold_no_room_while_users_and_services_wait_for_writes() -> None:
     e = engine()
-    assert not e.steps._hold_back()
+    assert not e.steps.pacing.hold_back()
     for _ in range(5):
         e.budget.add(call(Priority.USER, 1))
     held = []
     for _ in range(50):  # ten seconds
         e.now += 0.2
-        held.append(e.steps._hold_back())
+        held.append(e.steps.pacing.hold_back())
     assert held[:14] == [True] * 14
     assert 2 <= held.count(False) <= 4  # held back, but not for ever
 
@@ -492,11 +492,11 @@
     them after a wave of lost machines, arrays of the others took two thirds."""
     e = engine()
     e.heartbeats.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=True))
-    assert e.steps._hold_back()
+    assert e.steps.pacing.hold_back()
     e.now += c.HEARTBEAT_LOST_S + 1
-    assert not e.steps._hold_back()  # it may be over since: nobody is heard
+    assert not e.steps.pacing.hold_back()  # it may be over since: nobody is heard
     e.heartbeats.on_peer(Heartbeat("n1", 0.1, writes=9.0, pressed=False))
-    assert not e.steps._hold_back()
+    assert not e.steps.pacing.hold_back()
 
 
 def test_objectives_order_arrays_by_class_and_unknown_ones_are_ignored(
@@ -532,9 +532,9 @@
     e.wall = 1000.0
     young = Job(spec(id="job-000001", sail_s=500.0), 1000.0 - 5, 1)
     passed = Job(spec(id="job-000002", crates=9, sail_s=500.0), 1000.0 - 70, 1, steps=3)
-    assert e.steps.urgency(passed) < e.steps.urgency(young)
+    assert e.queue_order.urgency(passed) < e.queue_order.urgency(young)
     passed.done.add(0)
-    assert e.steps.urgency(passed) > e.steps.urgency(young)
+    assert e.queue_order.urgency(passed) > e.queue_order.urgency(young)
 
 
 def test_waiting_steps_of_arrays_make_way_for_stops_and_services() -> None:
@@ -550,17 +550,17 @@
     e.replica.set_job(array)
     e.budget.writes.rate, e.budget.ceiling, e.budget.writes.level = 0.0, 0.0, -9.0
     e.handle([], e.now + 0.2, 0.0)
-    assert e.rooms.reserved_on == {vm: {mine[0]: 4}} and mine[0] in e.steps.busy
+    assert e.rooms.reserved_on == {vm: {mine[0]: 4}} and mine[0] in e.steps.writer.busy
     service = Job(spec(id=mine[1], crates=1, cores=4.0, rank="production", shape="daemon"), 0.0, 3)
     e.replica.set_job(service)
     for _ in range(3):
         e.membership.touch_sent = e.membership.view_sent = e.now
         e.handle([], e.now + 0.11, 0.0)
     assert e.rooms.reserved_on == {vm: {mine[1]: 1}}
-    assert mine[0] not in e.steps.busy and mine[1] in e.steps.busy
+    assert mine[0] not in e.steps.writer.busy and mine[1] in e.steps.writer.busy
     # A stop takes the waiting write of its own job back too, but not an urgent one.
     e.steps.stop(mine[1], vm, {0})
-    assert mine[1] in e.steps.busy
+    assert mine[1] in e.steps.writer.busy
 
 
 def test_lists_of_finished_tasks_are_written_often_only_for_a_team_at_its_limit() -> None:
@@ -569,16 +569,16 @@
     one, other = Job(spec(id="job-000001"), 0.0, 1), Job(spec(id="job-000002"), 0.0, 2)
     e.replica.set_job(one)
     e.replica.set_job(other)
-    assert e.steps._progress_every(one) == c.PROGRESS_RELAXED_S
+    assert e.steps.pacing.progress_every(one) == c.PROGRESS_RELAXED_S
     e.steps.blocked["job-000002"] = "team limit"
     e.budget.writes.level = 0.0
-    assert e.steps._progress_every(one) == c.PROGRESS_EVERY_S
+    assert e.steps.pacing.progress_every(one) == c.PROGRESS_EVERY_S
     e.budget.writes.level = e.budget.writes.rate
-    assert e.steps._progress_every(one) == c.PROGRESS_SPARE_S  # nobody lacks these writes
+    assert e.steps.pacing.progress_every(one) == c.PROGRESS_SPARE_S  # nobody lacks these writes
     e.steps.blocked["job-000002"] = "no room"
     for _ in range(c.CROWDED + 1):
         e.store("txn", (ev.TxnPlan({}, [ev.Put("ad/x", 1)]),), Priority.STEP, lambda reply: None)
-    assert e.steps._progress_every(one) == c.PROGRESS_CROWDED_S
+    assert e.steps.pacing.progress_every(one) == c.PROGRESS_CROWDED_S
 
 
 def test_charges_are_given_back_soon_where_another_controllers_jobs_lack_the_limit() -> None:
@@ -598,7 +598,7 @@
     e.quota.forget_caches()
     assert e.quota.exhausted("red") and not e.steps.blocked
     e.budget.writes.level = e.budget.writes.rate
-    assert e.steps._progress_every(running) == c.PROGRESS_SPARE_S
+    assert e.steps.pacing.progress_every(running) == c.PROGRESS_SPARE_S
 
 
 def test_a_launch_of_an_earlier_term_asks_for_no_further_one() -> None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -386,6 +386,6 @@
 
 def test_a_share_is_raised_by_itself_while_steps_wait_for_writes() -> None:
     e, job = crowded_owner()
-    assert not e.steps._commit(job, grown(job, 3), Priority.STEP)
+    assert not e.steps.writer.commit(job, grown(job, 3), Priority.STEP)
     assert written_keys(e) == [[TEAMS + "red"]]
     assert e.steps.blocked[job.id] == "team record under way"
