--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -13,6 +13,8 @@
 from tests.standins.judge import Judge
 
 REPORT_S, LEASE_S = 1.5, 10.0
+SICK_RUN_S = 0.3
+"""s; for so long tasks run on a machine that fails them all"""
 
 
 class Worker:
@@ -28,6 +30,10 @@
         self.results: set[str] = set()
         self.images: set[str] = set()
         self.alive, self.hung_until = True, 0.0
+        self.sick = False
+        """fails every task that it starts"""
+        self.taken_at = math.inf
+        """when the cloud takes the machine back"""
         self.node = self.clock.rng.choice(world.names)
         self.in_flight = 0
         self.due = 0.0
@@ -36,6 +42,8 @@
         self._tick()
 
     def _tick(self) -> None:
+        if self.clock.now >= self.taken_at:
+            self.world.cloud.take(self.row["id"])
         if not self.alive:
             return
         now = self.clock.now
@@ -51,7 +59,7 @@
                 if task["status"] == "pulling" and now >= task["at"]:
                     self._start(key)
                 elif task["status"] == "running" and now >= task["until"]:
-                    self._exit(key, "done")
+                    self._exit(key, "error" if self.sick else "done")
                 elif task["status"] == "saving" and now >= task["at"]:
                     task["stored"] = True
                     self._save(key, self._progress(task))
@@ -72,6 +80,10 @@
                 if field in task:
                     task[field] += longer
 
+    def be_taken(self, notice_s: float) -> None:
+        """The cloud takes the machine back after this notice."""
+        self.taken_at, self.due = self.clock.now + notice_s, 0.0
+
     def die(self) -> None:
         self.alive = False
         for key in list(self.tasks):
@@ -82,7 +94,7 @@
         self.images.add(task["job"]["cargo"])
         task["status"] = "running"
         job, number = task["job"], int(key[0].partition("/")[2])
-        task["run_s"] = job.get("runs", {}).get(number, job["run_s"])
+        task["run_s"] = SICK_RUN_S if self.sick else job.get("runs", {}).get(number, job["run_s"])
         task["until"] = self.clock.now + task["run_s"] - self.world.cloud.saved.get(key[0], 0.0)
         self.judge.started(key[0], self.row)
         self.due = 0.0
@@ -122,7 +134,7 @@
             "shift": self.session,
             "tally": self.seq,
             "warrant": self.token,
-            "recall_s": None,
+            "recall_s": None if self.taken_at == math.inf else self.taken_at - self.clock.now,
             "crates": [
                 {
                     "crate": name,
@@ -253,6 +265,8 @@
     def __init__(self, world: Any, types: list[dict[str, Any]], capacity: int) -> None:
         self.world, self.types, self.capacity = world, types, capacity
         self.clock: Clock = world.clock
+        self.lag_s = 4
+        """s; age of the list that is told"""
         self.of_kind = capacity
         """machines of one zone and kind (spot or ordinary) at most"""
         self.machines: dict[str, dict[str, Any]] = {}
@@ -280,7 +294,7 @@
             for row in self.machines.values()
             if not row.get("taken")
         ]
-        self.old = [*self.old[-4:], rows]
+        self.old = [*self.old[-self.lag_s :], rows]
         self.clock.after(1.0, self._photograph)
 
     def request(
@@ -335,6 +349,11 @@
             }
             self.clock.after(up_within_s * self.clock.rng.random(), partial(self._up, name))
 
+    def take(self, name: str) -> None:
+        """The machine is gone, and no longer listed."""
+        self.kill(name)
+        self.machines.pop(name, None)
+
     def kill(self, name: str) -> None:
         worker = self.workers.pop(name, None)
         if worker is not None:
