--- a/tests/standins/load.py
+++ b/tests/standins/load.py
@@ -22,7 +22,7 @@
 from appledock.core.requests import Requests
 from appledock.core.steps import Steps
 from appledock.core.workers import Workers
-from tests.standins import world as worlds
+from tests.standins import deployment
 from tests.standins.world import World
 
 SECONDS = 80
@@ -126,20 +126,20 @@
     from 20 s on, so that many steps wait for their writes.
     """
     scale = machines / 400
-    teams = dict(worlds.TEAMS)
-    worlds.TEAMS.clear()
-    worlds.TEAMS.update({f"t{i}": (400 * scale, 1200 * scale) for i in range(4)})
+    teams = dict(deployment.TEAMS)
+    deployment.TEAMS.clear()
+    deployment.TEAMS.update({f"t{i}": (400 * scale, 1200 * scale) for i in range(4)})
     try:
         return _play(machines, scale, chains)
     finally:
-        worlds.TEAMS.clear()
-        worlds.TEAMS.update(teams)
+        deployment.TEAMS.clear()
+        deployment.TEAMS.update(teams)
 
 
 def _play(machines: int, scale: float, chains: bool) -> World:
-    world = World(7, capacity=machines, announced=worlds.NEXT if chains else None)
+    world = World(7, capacity=machines, announced=deployment.NEXT if chains else None)
     if chains:
-        world.clock.at(20.0, lambda: world.state.lower(**worlds.NEXT))
+        world.clock.at(20.0, lambda: world.state.lower(**deployment.NEXT))
         for number in range(int(SECONDS / PIPELINE_EVERY_S) - 1):
             world.clock.at(5.0 + number * PIPELINE_EVERY_S, partial(submit_pipeline, world, number))
     rng, due, number = world.clock.rng, 0.5, 0
--- a/tests/standins/meetings_common.py
+++ b/tests/standins/meetings_common.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from tests.standins.world import CANCEL_S, World
+from tests.standins.deployment import CANCEL_S
+from tests.standins.world import World
 
 Missing = Callable[[], list[str]]
 Meeting = Callable[[World], Missing]
--- a/tests/standins/sockets.py
+++ b/tests/standins/sockets.py
@@ -14,10 +14,10 @@
 from appledock.net.http import Answer, Server
 from appledock.settings import parse
 from tests.standins.clock import Clock
+from tests.standins.deployment import TYPES
 from tests.standins.judge import Judge
 from tests.standins.machines import Cloud
 from tests.standins.state import State
-from tests.standins.world import TYPES
 
 
 class RealClock(Clock):
--- a/tests/test_at_size.py
+++ b/tests/test_at_size.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import math
+from typing import Any
 
 import msgspec
 import pytest
@@ -20,8 +21,10 @@
 from appledock.net.http import Answer, Server
 from appledock.net.peers import frame
 from appledock.settings import Settings
-from tests.standins import world as standins
-from tests.standins.world import CANCEL_S, World
+from tests.standins import deployment
+from tests.standins.deployment import CANCEL_S
+from tests.standins.meetings_common import PLAIN
+from tests.standins.world import World
 from tests.test_decisions import engine, spec
 
 Patch = pytest.MonkeyPatch
@@ -34,31 +37,18 @@
 def large_teams(monkeypatch: Patch) -> None:
     """Teams whose limits leave room for all machines."""
     cores = 4.0 * FLEET
-    monkeypatch.setattr(standins, "TEAMS", {"red": (cores, cores), "blue": (cores, cores)})
+    monkeypatch.setattr(deployment, "TEAMS", {"red": (cores, cores), "blue": (cores, cores)})
 
 
-def array(number: int, run_s: float) -> dict[str, object]:
+def array(number: int, run_s: float) -> dict[str, Any]:
     """A job whose tasks take a whole machine each."""
     return {
+        **PLAIN,
         "id": f"job-{number:06d}",
-        "berth": "arr",
-        "owner": "red",
-        "shape": "batch",
-        "rank": "standard",
         "crates": CRATES,
         "cores": 4.0,
-        "cards": 0.0,
-        "memory_gb": 2.0,
-        "cargo": "img-0",
-        "image_gb": 1.0,
-        "hulls": None,
-        "quay": None,
-        "together": False,
-        "scatter": False,
         "standby": False,
         "eta_s": run_s,
-        "stow_s": 0.0,
-        "lash_s": 0.0,
         "sail_s": None,
         "run_s": run_s,
     }
@@ -121,8 +111,8 @@
     world = World(2)
     world.cloud.rps = 2.0
     world.cloud.add_machines(FLEET, up_within_s=0.5)
-    for worker_starts in world.cloud.machines.values():
-        worker_starts["status"] = "running"  # nobody reports: the list alone tells of them
+    for row in world.cloud.machines.values():
+        row["status"] = "running"  # nobody reports: the list alone tells of them
     for node in world.nodes.values():
         node.engine.settings = _with_cloud_rps(node.engine.settings, 2.0)
     world.clock.run(seconds)
@@ -218,7 +208,7 @@
     """Two hundred of its tasks counted, so that a job of 16,000 cores got fifty machines,
     and fifty more only once those were up and full."""
     e = engine()
-    e.teams = {"red": standins.settings("n0", ["n0"]).cluster.teams[0]}
+    e.teams = {"red": deployment.settings("n0", ["n0"]).cluster.teams[0]}
     e.replica.set_job(Job(spec(crates=4 * FLEET, owner="red", cores=1.0), 0.0, 2))
     assert [item.tasks for item in queued_demand(e)] == [4 * FLEET]
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -12,7 +12,7 @@
 from appledock.core import events as ev
 from appledock.core.budget import Priority
 from appledock.core.events import StoreCall
-from tests.standins.world import settings
+from tests.standins.deployment import settings
 from tests.test_launches import NOW, leading
 
 
--- a/tests/test_chains.py
+++ b/tests/test_chains.py
@@ -24,7 +24,8 @@
     submit_at,
 )
 from tests.standins.chains import spec as spec_of
-from tests.standins.world import CANCEL_S, World
+from tests.standins.deployment import CANCEL_S
+from tests.standins.world import World
 from tests.test_faults import strike
 from tests.test_requests import calls, engine, spec
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -14,7 +14,7 @@
 from appledock.core.engine import Engine
 from appledock.core.jobs import Job
 from appledock.core.replica import FINAL, FORMAT, JOBS, TEAMS
-from tests.standins.world import settings
+from tests.standins.deployment import settings
 
 SPEC = {
     "id": "job-000001",
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -13,8 +13,9 @@
 from appledock.core.membership import Membership
 from appledock.core.replica import FORMAT
 from tests.standins.chains import pipeline, spec
+from tests.standins.deployment import NEXT
 from tests.standins.versions import Code, present, production, served
-from tests.standins.world import NEXT, World
+from tests.standins.world import World
 from tests.test_upgrade import verdict
 
 ROLL_AT, EVERY_S, AWAY_S = 20.0, 8.0, 2.0
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -22,7 +22,7 @@
 from appledock.core.jobs import Attempt, Job, decode
 from appledock.core.quota import Amounts, Quota
 from appledock.core.replica import JOBS, MEMBERS, TEAMS, VIEW, Team
-from tests.standins.world import settings
+from tests.standins.deployment import settings
 from tests.test_grown import owner_of_nothing
 from tests.test_requests import spec
 
--- a/tests/test_short_arrays.py
+++ b/tests/test_short_arrays.py
@@ -16,9 +16,9 @@
 
 from appledock import constants as c
 from appledock.core.engine import Engine
+from tests.standins import deployment as standin_deployment
 from tests.standins import machines as standin_machines
 from tests.standins import meetings_common
-from tests.standins import world as standin_world
 from tests.standins.world import World
 
 Patch = pytest.MonkeyPatch
@@ -45,12 +45,11 @@
 @pytest.fixture(autouse=True)
 def deployment(monkeypatch: Patch) -> None:
     """The times, teams and machines of this deployment."""
-    for module in (standin_machines, standin_world):
-        monkeypatch.setattr(module, "REPORT_S", REPORT_S)
-        monkeypatch.setattr(module, "LEASE_S", LEASE_S)
-    monkeypatch.setattr(standin_world, "CANCEL_S", CANCEL_S)
-    monkeypatch.setattr(standin_world, "TEAMS", TEAMS)
-    monkeypatch.setattr(standin_world, "TYPES", TYPES)
+    monkeypatch.setattr(standin_machines, "REPORT_S", REPORT_S)
+    monkeypatch.setattr(standin_machines, "LEASE_S", LEASE_S)
+    monkeypatch.setattr(standin_deployment, "CANCEL_S", CANCEL_S)
+    monkeypatch.setattr(standin_deployment, "TEAMS", TEAMS)
+    monkeypatch.setattr(standin_deployment, "TYPES", TYPES)
 
 
 def scan(world: World, **changes: Any) -> str:
@@ -280,7 +279,7 @@
     and they go on for theirs; then the deletion must still find its time."""
 
     def over_s() -> float:
-        settings = standin_world.settings("n0", ["n0", "n1", "n2"])
+        settings = standin_deployment.settings("n0", ["n0", "n1", "n2"])
         engine = Engine(settings, "x", random.Random(1))
         lapse_s = LEASE_S * (1 + c.CLOCK_DRIFT) + c.LAPSE_MARGIN_S
         return engine.grant_s * (1 + c.CLOCK_DRIFT) + lapse_s
