Terminal console: workers and teams by load, moves, controllers, over slow links

Change: appledock console on textual (requirements-console.txt, not on controllers). Controllers answer what changed since a version; the console paces itself to a rate of bytes, goes on with another controller, and redraws changed cells only.

--- a/appledock/cli.py
+++ b/appledock/cli.py
@@ -6,12 +6,15 @@
 import json
 import logging
 import os
+import re
 import sys
 from typing import Any, NoReturn
 
 import click
 
 from appledock import __version__
+from appledock.console.link import Link
+from appledock.constants import CONSOLE_BYTES_PER_S
 from appledock.net.http import Client, NoAnswer, NotSent
 from appledock.rebalancing.settings import Rebalancing, RebalancingError, schema
 from appledock.rebalancing.settings import load as load_rebalancing
@@ -23,6 +26,7 @@
     "info": logging.INFO,
     "debug": logging.DEBUG,
 }
+ADDRESS = re.compile(r"[^\s:]+:[0-9]{1,5}")
 FAILED, USAGE = 1, 2
 """Exit codes: the request failed; the call or the file is wrong."""
 
@@ -298,6 +302,35 @@
     return reply
 
 
+@main.command()
+@click.option(
+    "--api",
+    "addresses",
+    metavar="HOST:PORT",
+    multiple=True,
+    required=True,
+    envvar="APPLEDOCK_API",
+    help="A controller's public address; name all of them, it goes on with another one.",
+)
+@click.option(
+    "--bytes-per-second",
+    default=CONSOLE_BYTES_PER_S,
+    show_default=True,
+    type=click.IntRange(min=200),
+    help="What it takes of its link at most.",
+)
+def console(addresses: tuple[str, ...], bytes_per_second: int) -> None:
+    """Watch workers, teams, moves and controllers on a terminal."""
+    for address in addresses:
+        if not ADDRESS.fullmatch(address):
+            fail(f"{address}: HOST:PORT is needed", USAGE)
+    try:
+        from appledock.console.screen import Console  # noqa: PLC0415  (not on controllers)
+    except ModuleNotFoundError as error:
+        fail(f"the console needs requirements-console.txt: {error}", USAGE)
+    Console(Link(list(addresses), bytes_per_second)).run()
+
+
 @main.command("rebalancing-schema")
 def rebalancing_schema() -> None:
     """Print the JSON schema of the file for --rebalancing."""
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -412,6 +412,25 @@
 """s; a leader that alone fails this long, by its own or the others' word, is
 replaced: without one nothing is rented."""
 
+# --- Console --------------------------------------------------------------
+CONSOLE_EVERY_S = 1.0
+"""s; least pause between two questions of a console that knows all changes."""
+CONSOLE_RETRY_S = 2.0
+"""s; pause after every controller was asked in vain."""
+CONSOLE_TIMEOUT_S = 4.0
+"""s; a controller without an answer by then is left for the next one."""
+CONSOLE_BYTES_PER_S = 2000
+"""bytes/s; what a console takes of its link unless told otherwise: a slow modem's worth."""
+CONSOLE_ANSWER_S = 3.0
+"""s; one answer should take no longer at that rate: then the screen never stands still long."""
+CONSOLE_ROW_BYTES = 90
+CONSOLE_HEAD_BYTES = 400
+"""bytes; a row as long as it is not measured, and the heads of question and answer."""
+CONSOLE_ROWS_MAX = 500
+"""rows; in one answer, whatever the link's rate."""
+CONSOLE_DROPPED_MAX = 1000
+"""rows; that are gone and still told as such. Beyond, consoles that lag begin anew."""
+
 # --- Metrics --------------------------------------------------------------
 LATENCY_MAX_US = 60_000_000
 """us; longest latency that the histograms tell apart."""
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -12,6 +12,7 @@
 
 from appledock import constants as c
 from appledock.core.budget import Priority
+from appledock.core.console_feed import ConsoleFeed
 from appledock.core.events import Admin, Put, Reply, SetLogLevel, StoreReply, TxnPlan
 from appledock.core.jobs import Attempt, Job
 from appledock.core.quota import NOTHING
@@ -77,6 +78,7 @@
     def __init__(self, engine: Engine) -> None:
         self.engine = engine
         self.values: dict[str, float] = {name: o.default for name, o in OPTIONS.items()}
+        self.feed = ConsoleFeed(engine)
         self._readers: dict[str, Callable[[], dict[str, Any]]] = {
             "status": self.status,
             "jobs": lambda: {"jobs": self.jobs()},
@@ -107,6 +109,8 @@
         match (cmd.method, *cmd.path):
             case ("GET", _) if read is not None:
                 self._answer(cmd, read())
+            case ("GET", "changes", incarnation, version, limit):
+                self._changes(cmd, incarnation, version, limit)
             case ("PATCH", "settings"):
                 self._change(cmd)
             case ("POST", "machines", name, ("cordon" | "uncordon" | "drain") as action):
@@ -282,6 +286,15 @@
             },
         }
 
+    def _changes(self, cmd: Admin, incarnation: str, version: str, limit: str) -> None:
+        """What has changed on a console's screen since a version of this incarnation."""
+        most = c.CONSOLE_ROWS_MAX
+        if not version.isdecimal() or not limit.isdecimal() or not 1 <= int(limit) <= most:
+            text = f"changes/INCARNATION/VERSION/ROWS: integers, ROWS from 1 to {most}"
+            self._answer(cmd, {"error": text}, 400)
+            return
+        self._answer(cmd, self.feed.since(incarnation, int(version), int(limit)))
+
     # --- changing ---------------------------------------------------------
     def _change(self, cmd: Admin) -> None:
         """Take `{"settings": {name: value or null}, "version": n}`; null: the default again.
--- a/appledock/core/rebalancer.py
+++ b/appledock/core/rebalancer.py
@@ -273,7 +273,7 @@
             "bound": self.settings.bound,
             "mean": round(self.scoring.means.total, 4),
             "workers": self._workers(),
-            "teams": self._teams(),
+            "teams": self.teams(),
             "datasets": self.situations,
             "under_way": [
                 {
@@ -318,9 +318,10 @@
             )
         return rows
 
-    def _teams(self) -> list[dict[str, Any]]:
+    def teams(self) -> list[dict[str, Any]]:
         """Each team's mean, its fullest machine, and whether that is within the bound."""
-        assert self.settings is not None
+        if self.settings is None:
+            return []
         rows = []
         for team, mean in sorted(self.scoring.means.teams.items()):
             most, machine, tasks = max(
--- a/run.py
+++ b/run.py
@@ -5,6 +5,7 @@
 
 ROOT = Path(__file__).resolve().parent
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
+sys.path.append(str(ROOT / "target" / "console"))
 
 from appledock.cli import main  # noqa: E402  (the path has to be set first)
 
