--- a/appledock/console/screen.py
+++ b/appledock/console/screen.py
@@ -81,28 +81,30 @@
         self.link = link
         self.mirror = Mirror()
         self.clients: dict[str, Client] = {}
-        self.received = 0
+        # Kept here, not looked up: an answer may come while the screen is taken down.
+        self.cluster_line = Static("", id="cluster")
+        self.link_line = Static("", id="link")
+        self.tables: dict[str, DataTable[str]] = {
+            kind: DataTable(id=kind, cursor_type="row" if kind == "worker" else "none")
+            for kind in COLUMNS
+        }
 
     def compose(self) -> ComposeResult:
         """The parts of the screen, from top to bottom."""
-        yield Static("", id="cluster")
-        yield Static("", id="link")
-        for kind in COLUMNS:
-            yield DataTable[str](id=kind, cursor_type="row" if kind == "worker" else "none")
+        yield self.cluster_line
+        yield self.link_line
+        yield from self.tables.values()
         yield Footer()
 
     def on_mount(self) -> None:
         """Add the headings and begin to ask."""
         for kind, headings in COLUMNS.items():
-            table = self._table(kind)
+            table = self.tables[kind]
             for place, heading in enumerate(headings):
                 table.add_column(heading, key=str(place))
         self._say()
         self.follow()
 
-    def _table(self, kind: str) -> DataTable[str]:
-        return self.query_one(f"#{kind}", DataTable)
-
     # --- asking -----------------------------------------------------------
     @work(exclusive=True)
     async def follow(self) -> None:
@@ -129,7 +131,6 @@
         except (NotSent, NoAnswer, msgspec.DecodeError) as error:
             self.link.failed(time.monotonic(), str(error) or type(error).__name__)
             return
-        self.received += len(body)
         count = len(changes.rows) + len(changes.dropped)
         self.link.answered(time.monotonic(), len(body), count, changes.more)
         self._show(changed, gone)
@@ -146,14 +147,14 @@
     def _show(self, changed: set[str], gone: set[str]) -> None:
         for key in gone:
             kind, _, name = key.partition("/")
-            if kind in COLUMNS and name in self._table(kind).rows:
-                self._table(kind).remove_row(name)
+            if kind in COLUMNS and name in self.tables[kind].rows:
+                self.tables[kind].remove_row(name)
         for key in sorted(changed):
             kind, _, name = key.partition("/")
             if kind in COLUMNS:
-                self._show_row(self._table(kind), name, cells(name, self.mirror.rows[key]))
+                self._show_row(self.tables[kind], name, cells(name, self.mirror.rows[key]))
         if any(key.startswith("worker/") for key in changed | gone):
-            self._table("worker").sort("1", reverse=True)
+            self.tables["worker"].sort("1", reverse=True)
 
     @staticmethod
     def _show_row(table: DataTable[str], name: str, shown: tuple[str, ...]) -> None:
@@ -168,14 +169,14 @@
         """The two lines at the top: the cluster, and the link."""
         row = self.mirror.rows.get("cluster/")
         if isinstance(row, ClusterRow):
-            self.query_one("#cluster", Static).update(
+            self.cluster_line.update(
                 f"appledock  asked: {row.node}  jobs {row.jobs}  queued tasks {row.queued_tasks}"
                 f"  mean load {row.mean_load:.2f}  moves {row.moves}, {row.moves_done} done"
             )
         trouble = self.link.trouble()
         if trouble:
             trouble = f"no answer from {trouble}; asking {self.link.address}"
-        self.query_one("#link", Static).update(trouble)
+        self.link_line.update(trouble)
 
     # --- keys -------------------------------------------------------------
     @work
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -12,7 +12,6 @@
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from textual.widgets import DataTable, Static
 
 from appledock import constants as c
 from appledock.cli import main
@@ -176,12 +175,13 @@
 
 
 def names(console: Console, kind: str) -> list[str]:
-    table: DataTable[str] = console.query_one(f"#{kind}", DataTable)
+    table = console.tables[kind]
     return [str(table.get_row_at(place)[0]) for place in range(table.row_count)]
 
 
 def line(console: Console, name: str) -> str:
-    return str(console.query_one(f"#{name}", Static).content)
+    shown = console.cluster_line if name == "cluster" else console.link_line
+    return str(shown.content)
 
 
 def test_the_screen_follows_the_rows_the_fullest_first(monkeypatch: Patch) -> None:
