Moves: jobs whose owner does not answer are not asked for again at once; tests

Found by a test with a controller of the version in production: it ignores the messages, and the room that was kept for nothing was kept again every thirty seconds. Tests: that cluster, and a job that is done during its move.

--- a/appledock/core/moves.py
+++ b/appledock/core/moves.py
@@ -319,8 +319,13 @@
         """As the planner: ask no more for this job for a while; its owner would refuse."""
         settings = self.engine.rebalancer.settings
         assert settings is not None
-        moved = outcome in (Outcome.DONE, Outcome.COOLING)
-        rest_s = settings.moves.cooldown_s if moved else c.MOVE_RETRY_S
+        rest_s = c.MOVE_RETRY_S
+        if outcome in (Outcome.DONE, Outcome.COOLING):
+            rest_s = settings.moves.cooldown_s
+        elif outcome == Outcome.NO_ANSWER:
+            # Its owner may be of a version that knows no moves: the room that was kept for
+            # nothing would be kept again and again.
+            rest_s = c.MOVE_UNANSWERED_S
         until = self.engine.now + rest_s
         self.cooling[job_id] = max(until, self.cooling.get(job_id, c.LONG_AGO))
 
@@ -357,6 +362,7 @@
         for under_way in list(self.planned.values()):
             if now >= under_way.until + c.MOVE_LOOK_EVERY_S:
                 del self.planned[under_way.order.number]
+                self._rest(under_way.order.job, Outcome.NO_ANSWER)
                 self._note(under_way.order, Outcome.NO_ANSWER)
         self.cooling = {job: until for job, until in self.cooling.items() if until > now}
 
--- a/tests/standins/spreading.py
+++ b/tests/standins/spreading.py
@@ -105,6 +105,8 @@
     """What came of all moves, as their planners heard; lost with a controller's end."""
     result: dict[str, int] = {}
     for node in world.nodes.values():
+        if not hasattr(node.engine, "moves"):
+            continue  # of an earlier version
         for outcome, count in node.engine.moves.outcomes.items():
             result[str(outcome)] = result.get(str(outcome), 0) + count
     return result
@@ -115,6 +117,6 @@
     return [
         under_way.order
         for node in world.nodes.values()
-        if node.up
+        if node.up and hasattr(node.engine, "moves")
         for under_way in node.engine.moves.active.values()
     ]
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -30,6 +30,7 @@
     service,
     set_options,
 )
+from tests.standins.versions import production
 from tests.standins.world import World
 
 Patch = pytest.MonkeyPatch
@@ -202,6 +203,37 @@
     assert evenly_spread(world)
 
 
+def job_done(world: World, order: MoveOrder) -> None:
+    """All tasks of the job end at the very moment, the one that moves among them."""
+    for worker in world.cloud.workers.values():
+        for (task, _), row in worker.tasks.items():
+            if task.startswith(order.job + "/") and "until" in row:
+                row["until"] = world.clock.now
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_job_that_is_done_during_its_move_is_done_once(seed: int) -> None:
+    world, struck = play(seed, job_done, arrays=6, save_s=3.0)
+    assert struck
+    assert world.judge.broken == [] and world.unfinished() == []
+    assert all(world.judge.final[order.job][0] == "done" for order in struck)
+    assert all(not node.engine.rooms.held for node in world.nodes.values())
+
+
+@pytest.mark.parametrize("old", ["n0", "n1", "n2"])
+def test_a_controller_of_the_version_in_production_takes_no_part_and_no_harm(old: str) -> None:
+    """It ignores the messages, the room that was kept lapses, and the others go on."""
+    world = crowded(10, rules())
+    world.nodes[old].crash(0.2)
+    world.nodes[old].code = production()
+    world.clock.at(PEACE_S, world.peace)
+    world.clock.run(END_S)
+    assert world.nodes[old].runs is production()
+    assert world.judge.broken == [] and missing(world) == []
+    assert outcomes(world)[Outcome.DONE] > 0
+    assert not any(node.engine.rooms.held for node in world.nodes.values() if node.name != old)
+
+
 def test_load_is_spread_without_troubles_and_stays_as_it_was_when_off() -> None:
     spread, _ = play(3)
     assert spread.judge.broken == [] and missing(spread) == []
