--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -327,7 +327,7 @@
                 self.apply()
                 self._answer(cmd, self.settings())
             elif reply.outcome == "conflict":
-                self.engine.read_keys([SETTINGS])
+                self.engine.reader.read_keys([SETTINGS])
                 self._answer(cmd, {"error": "the settings were changed meanwhile"}, 409)
             else:
                 self._answer(cmd, {"error": "state service does not answer"}, 503)
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -26,9 +26,10 @@
 from appledock.core.queue_order import QueueOrder
 from appledock.core.quota import Quota
 from appledock.core.rebalancer import Rebalancer
-from appledock.core.replica import LIVE, Replica, View, key_kind
+from appledock.core.replica import Replica, View, key_kind
 from appledock.core.requests import Requests
 from appledock.core.rooms import Rooms
+from appledock.core.state_reader import StateReader
 from appledock.core.steps import Steps
 from appledock.core.workers import Worker, Workers
 from appledock.rebalancing.settings import Rebalancing
@@ -55,11 +56,6 @@
         self.wall = 0.0
         """s, time of day"""
         self.effects: list[ev.Effect] = []
-        self.loaded = False
-        self.loading = False
-        self.next_load = 0.0
-        self.watching = False
-        self.next_watch = 0.0
         self.queue_dirty = True
         self.value_bytes = int(settings.cluster.state.value_kb * 1024 * c.VALUE_SLACK)
         workers = settings.cluster.workers
@@ -87,6 +83,7 @@
             settings.cluster.state.write_rps * c.WRITES_CEILING,
         )
         self.replica = Replica()
+        self.reader = StateReader(self)
         self.membership = Membership(self)
         self.heartbeats = Heartbeats(self)
         self.workers = Workers(self)
@@ -111,10 +108,10 @@
         for command in batch:
             try:
                 self._one(command)
-            except Exception as error:
+            except Exception:
                 # Bad input or a bug must never end the process, nor take the rest
                 # of the batch and its effects along.
-                log.exception("command %s failed: %s", type(command).__name__, error)
+                log.exception("command %s failed", type(command).__name__)
                 ask = getattr(command, "ask", None)
                 if ask is not None:
                     self.requests.open.pop(ask, None)
@@ -133,9 +130,20 @@
             case ev.Reported():
                 self.workers.on_report(cmd.ask, cmd.report)
             case ev.StoreReply() | ev.CloudReply() | ev.WorkerReply():
-                callback = self.callbacks.pop(cmd.tag, None)
-                if callback is not None:
-                    callback(cmd)
+                self._replied(cmd)
+            case ev.PeerMessage():
+                self._peer(cmd.message)
+            case ev.PeerOpened():
+                self.workers.on_peer_connected(cmd.name)
+                self.fleet.on_peer_connected(cmd.name)
+                self.cancels.on_peer_connected(cmd.name)
+            case ev.Tick():
+                self._tick()
+            case ev.Poll() | ev.Submit() | ev.Cancel() | ev.Health() | ev.Admin():
+                self._request(cmd)
+
+    def _request(self, cmd: ev.Poll | ev.Submit | ev.Cancel | ev.Health | ev.Admin) -> None:
+        match cmd:
             case ev.Poll():
                 self.requests.poll(cmd)
             case ev.Submit():
@@ -145,16 +153,13 @@
             case ev.Health():
                 good = self.healthy()
                 self.emit(ev.Reply(cmd.ask, 200 if good else 503, {"healthy": good}))
-            case ev.PeerMessage():
-                self._peer(cmd.message)
-            case ev.PeerOpened():
-                self.workers.on_peer_connected(cmd.name)
-                self.fleet.on_peer_connected(cmd.name)
-                self.cancels.on_peer_connected(cmd.name)
             case ev.Admin():
                 self.admin.request(cmd)
-            case ev.Tick():
-                self._tick()
+
+    def _replied(self, reply: ev.StoreReply | ev.CloudReply | ev.WorkerReply) -> None:
+        callback = self.callbacks.pop(reply.tag, None)
+        if callback is not None:
+            callback(reply)
 
     def _peer(self, body: Any) -> None:
         message = messages.decode(body)
@@ -180,10 +185,7 @@
                 pass
 
     def _tick(self) -> None:
-        if not self.loaded and not self.loading and self.now >= self.next_load:
-            self._load()
-        if self.loaded and not self.watching and self.now >= self.next_watch:
-            self._watch()
+        self.reader.tick()
         for tick in (
             self.membership.tick,
             self.heartbeats.tick,
@@ -240,15 +242,18 @@
         self.workers.flush_orders()
 
     def emit(self, effect: ev.Effect) -> None:
+        """Hand an effect to the adapters, with the others of this batch."""
         self.effects.append(effect)
 
     def healthy(self) -> bool:
-        """Can requests be taken? Without the machine types (first start ever) no
-        submission can be decided. Whoever alone is not served by the state service
-        steps aside; in an outage, which all meet, nobody does: being taken back
-        would take longer than the outage."""
+        """Can requests be taken?
+
+        Without the machine types (first start ever) no submission can be decided. Whoever
+        alone is not served by the state service steps aside; in an outage, which all meet,
+        nobody does: being taken back would take longer than the outage.
+        """
         return (
-            self.loaded
+            self.reader.loaded
             and self.membership.joined
             and bool(self.types)
             and not self.heartbeats.shut_out()
@@ -269,8 +274,10 @@
         done: Callable[[ev.StoreReply], None],
         patience: float = c.PATIENCE_S,
     ) -> Waiting | None:
-        """Queue a call to the state service; `done` is called in any case. None: the
-        queue is full."""
+        """Queue a call to the state service; `done` is called in any case.
+
+        None: the queue is full.
+        """
         writes = len(args[0].writes) if op == "txn" else 0
         timeout = c.FOLLOW_TIMEOUT_S if op == "watch" else c.STORE_TIMEOUT_S
         call = Waiting(op, args, priority, writes, timeout, done, self.now + patience, self.now)
@@ -310,8 +317,10 @@
         self.call(lambda tag: ev.StoreCall(tag, call.op, call.args, call.timeout), done)
 
     def _too_large(self, plan: ev.TxnPlan) -> None:
-        """A limit that nobody announced: from now on records are kept below the largest
-        value refused, down to a floor. Sent again as it is, it would be refused for ever."""
+        """Keep records below the largest value refused, down to a floor, from now on.
+
+        It met a limit that nobody announced. Sent again as it is, it would be refused for ever.
+        """
         largest = max(
             (len(wire.encode(write.value)) for write in plan.writes if isinstance(write, ev.Put)),
             default=0,
@@ -323,91 +332,6 @@
             )
             self.value_bytes = bound
 
-    def read_keys(
-        self,
-        keys: list[str],
-        then: Callable[[], None] | None = None,
-        failed: Callable[[], None] | None = None,
-    ) -> None:
-        """Read keys afresh into the replica, one after the other, then go on;
-        `failed` if one cannot be read.
-
-        The order matters: a job's open record is read before its final one. Read
-        at the same time, a job that ends in between shows in neither.
-        """
-        left = list(keys)
-
-        def step() -> None:
-            if left:
-                self.store("get", (left[0],), Priority.USER, done)
-            elif then is not None:
-                then()
-
-        def done(reply: ev.StoreReply) -> None:
-            key = left.pop(0)
-            if reply.outcome == "ok":
-                self.replica.put(key, reply.data.value, reply.data.version)
-            elif reply.outcome == "missing":
-                self.replica.drop(key, reply.data.revision)
-            else:
-                if failed is not None:
-                    failed()
-                return
-            step()
-
-        step()
-
-    # --- picture of the state service -------------------------------------
-    def _load(self) -> None:
-        """Read everything live, then follow it from the first page's revision."""
-        self.loading = True
-        rows: list[wire.Row] = []
-        first: list[int] = []
-
-        def page(after: str | None) -> None:
-            def done(reply: ev.StoreReply) -> None:
-                if reply.outcome != "ok":
-                    self.loading = False
-                    self.next_load = self.now + c.RETRY_MIN_S + self.rng.random() * 0.3
-                    return
-                rows.extend(reply.data.items)
-                first.append(reply.data.revision)
-                if reply.data.more and reply.data.items:
-                    page(reply.data.items[-1].key)
-                    return
-                self.replica.load(rows, first[0])
-                self.loading, self.loaded = False, True
-                self.next_watch = self.now
-                log.info("loaded %d records at revision %d", len(rows), first[0])
-                self.membership.tick()
-
-            self.store("list", (LIVE, after, c.LIST_LIMIT), Priority.LEASE, done)
-
-        page(None)
-
-    def _watch(self) -> None:
-        self.watching = True
-
-        def done(reply: ev.StoreReply) -> None:
-            self.watching = False
-            self.next_watch = self.now + c.FOLLOW_PAUSE_S
-            if reply.outcome == "ok":
-                for event in reply.data.events:
-                    if event.put is not None:
-                        self.replica.put(event.put, event.value, event.version)
-                    elif event.delete is not None:
-                        self.replica.drop(event.delete, event.version)
-                self.replica.advance(reply.data.revision)
-            elif reply.outcome == "gone":
-                log.warning("watch too old; reading everything again")
-                self.loaded = False
-            else:
-                self.next_watch = self.now + c.RETRY_MIN_S + self.rng.random() * 0.2
-
-        self.store(
-            "watch", (c.KEY_ROOT, self.replica.revision, c.FOLLOW_BLOCK_MS), Priority.VIEW, done
-        )
-
     # --- records ----------------------------------------------------------
     def record(self, job: Job) -> dict[str, Any]:
         """The job's record, in the format in use."""
@@ -418,9 +342,12 @@
         return len(wire.encode(self.record(job))) <= self.value_bytes
 
     def slim(self, job: Job) -> Job:
-        """Guards against records that were stored under larger limits and could never be
-        written again. Types that the cloud does not offer decide nothing, and those of a
-        cancelled job neither."""
+        """Drop types that decide nothing from a description that is too large.
+
+        Guards against records that were stored under larger limits and could never be written
+        again. Types that the cloud does not offer decide nothing, nor do those of a cancelled
+        job.
+        """
         types = job.spec.types
         if types is not None and not self.fits(job):
             left = [] if job.cancelled else [name for name in types if name in self.types]
@@ -433,6 +360,7 @@
         return self.replica.needs.pressing(job)[0]
 
     def owns_job(self, job: Job) -> bool:
+        """Is the job ours to move on, by the newest view known?"""
         return self.replica.view is not None and self.replica.job_owner(job) == self.settings.name
 
     def running(self, job: Job) -> int:
@@ -447,9 +375,11 @@
         return count
 
     def note_final(self, job: Job, state: str) -> None:
+        """A job of ours has ended, and that is committed."""
         log.info("%s is %s", job.id, state)
 
     def zone_of(self, machine: str) -> str | None:
+        """The machine's zone; None if nobody has told it yet."""
         worker = self.workers.table.get(machine)
         if worker is not None and worker.report is not None:
             return worker.report.zone
--- a/appledock/core/fleet/manager.py
+++ b/appledock/core/fleet/manager.py
@@ -47,7 +47,7 @@
     def tick(self) -> None:
         """Do what is due; all but drains is the leader's."""
         now = self.engine.now
-        if not self.engine.loaded:
+        if not self.engine.reader.loaded:
             return
         if self.engine.membership.acting() and now >= self.next_drain:
             self.next_drain = now + c.FLEET_EVERY_S
--- a/appledock/core/job_writer.py
+++ b/appledock/core/job_writer.py
@@ -158,12 +158,12 @@
         engine, job = self.engine, write.job
         pause = c.RETRY_MIN_S + engine.rng.random() * (c.RETRY_MAX_S - c.RETRY_MIN_S)
         if reply.outcome == "conflict":
-            engine.read_keys(reply.data.failed)
+            engine.reader.read_keys(reply.data.failed)
             return c.RETRY_MIN_S * engine.rng.random()
         if reply.outcome == "unknown":
             # It may be applied, now or later: read before acting on either.
             team_keys = [TEAMS + job.spec.team] if write.team_record else []
-            engine.read_keys([JOBS + job.id, *team_keys])
+            engine.reader.read_keys([JOBS + job.id, *team_keys])
         elif reply.outcome == "invalid":
             # Too large, most likely: it may fit now that the bound is lower. If not,
             # seldom, since each try costs the others their turn.
@@ -231,7 +231,7 @@
             if reply.outcome == "ok":
                 self._team_written(team, record, reply.data.revision)
             elif reply.outcome in ("conflict", "unknown"):
-                self.engine.read_keys([TEAMS + team])
+                self.engine.reader.read_keys([TEAMS + team])
 
         self.engine.store("txn", (plan,), priority, done)
 
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -123,7 +123,7 @@
     def tick(self) -> None:
         """Join, renew, and change the view if it is time to."""
         now = self.engine.now
-        if not self.engine.loaded:
+        if not self.engine.reader.loaded:
             return
         if not self.joined:
             if not self.joining and now >= self.next_join:
@@ -173,7 +173,7 @@
                     NEWEST_FORMAT,
                 )
             elif reply.outcome == "conflict":
-                self.engine.read_keys(reply.data.failed)
+                self.engine.reader.read_keys(reply.data.failed)
 
         self.engine.store("txn", (plan,), Priority.VIEW, done)
 
@@ -264,7 +264,7 @@
             elif reply.outcome == "conflict":
                 # Guards against joining that never goes on: the state service may answer
                 # the conflict and refuse what is read next.
-                self.engine.read_keys(reply.data.failed, self._read_self, self._retry_join)
+                self.engine.reader.read_keys(reply.data.failed, self._read_self, self._retry_join)
             else:
                 self._retry_join()
 
@@ -431,7 +431,7 @@
                     "view %d: members %s, leader %s", new.term, sorted(new.members), new.leader
                 )
             elif reply.outcome == "conflict":
-                self.engine.read_keys(reply.data.failed)
+                self.engine.reader.read_keys(reply.data.failed)
             else:
                 self.next_view = self.engine.now + c.TOUCH_RETRY_S
 
--- a/appledock/core/placement.py
+++ b/appledock/core/placement.py
@@ -33,6 +33,7 @@
     """committed shares; None where load is not spread"""
 
     def fits(self, spec: wire.JobSpec) -> bool:
+        """Is there room for one task?"""
         return (
             self.cpus + c.EPSILON >= spec.cpus
             and self.gpus + c.EPSILON >= spec.gpus
@@ -52,6 +53,7 @@
         return max(0, count)
 
     def take(self, spec: wire.JobSpec, tasks: int = 1) -> None:
+        """Charge the room with tasks of the job (negative: give it back)."""
         self.cpus -= spec.cpus * tasks
         self.gpus -= spec.gpus * tasks
         self.memory_gb -= spec.memory_gb * tasks
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -89,7 +89,7 @@
     def _admit(self, ask: int) -> bool:
         """Bounded: beyond the bound users are refused at once."""
         self.open[ask] = self.e.now + c.REQUEST_DEADLINE_S
-        if not self.e.loaded:
+        if not self.e.reader.loaded:
             self.refuse(ask, "starting")
             return False
         if len(self.open) > c.PENDING_USERS_MAX:
@@ -131,7 +131,7 @@
         """How needed jobs ended that are not in the picture: after a start, or if they
         ended long ago. A few at a time."""
         unknown = self.e.replica.needs.unknown
-        if not unknown or not self.e.loaded:
+        if not unknown or not self.e.reader.loaded:
             return
         for need in sorted(unknown):
             if len(self.reading) >= c.OUTCOMES_AT_ONCE:
@@ -213,9 +213,9 @@
                 else:
                     then()
 
-            self.e.read_keys([FINAL + job_id], done, failed)
+            self.e.reader.read_keys([FINAL + job_id], done, failed)
 
-        self.e.read_keys([JOBS + job_id], read_final, failed)
+        self.e.reader.read_keys([JOBS + job_id], read_final, failed)
 
     def _accepted(self, job_id: str) -> bool:
         return job_id in self.e.replica.jobs or job_id in self.e.replica.finals
--- a/appledock/core/rooms.py
+++ b/appledock/core/rooms.py
@@ -42,6 +42,7 @@
 
     # --- what changed -----------------------------------------------------
     def touch(self, machine: str) -> None:
+        """The machine's room is to be counted anew."""
         self.dirty.add(machine)
 
     def touch_all(self) -> None:
@@ -57,6 +58,7 @@
             self.dirty.add(machine)
 
     def release(self, job_id: str) -> None:
+        """The outcome of the job's write is known: its record shows what it took."""
         for machine, _, _ in self.reserved.pop(job_id, ()):
             jobs = self.reserved_on.get(machine)
             if jobs is not None:
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -12,7 +12,7 @@
     """The read that follows a conflict was refused, and the controller never tried again:
     it stayed without authority until somebody restarted it."""
     e = engine()
-    e.watching = True
+    e.reader.watching = True
     now, conflicts, refused = 100.0, 0, 0
     for _ in range(400):
         now += 0.05
--- a/tests/test_launches.py
+++ b/tests/test_launches.py
@@ -17,7 +17,7 @@
 def leading(now: float = NOW) -> Engine:
     """The only member of its view, with authority, and one machine that reports."""
     e = engine()
-    e.watching = True
+    e.reader.watching = True
     e.replica.put(MEMBERS + "n0", {"incarnation": "x.1", "lease": 1}, 1)
     e.replica.put(VIEW, {"term": 1, "members": {"n0": "x.1"}, "leader": "n0"}, 1)
     e.replica.advance(9)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -42,7 +42,7 @@
 
 def engine() -> Engine:
     e = Engine(settings("n0", ["n0", "n1", "n2"]), "x", random.Random(1))
-    e.loaded = True
+    e.reader.loaded = True
     e.types = {"h4": wire.MachineType("h4", 4, 16, 0.2, 0.1, 5, ["a", "b"])}
     e.handle([], 100.0, 0.0)
     return e
@@ -187,7 +187,7 @@
 def test_end_seen_in_one_event_list_is_remembered() -> None:
     """The drop of the open record came first, and the final state was ignored."""
     e = engine()
-    e.watching = False
+    e.reader.watching = False
     effects = e.handle([ev.Tick()], 101.0, 0.0)
     (watch,) = calls(effects, "watch")
     events = [
