Moves: pauses double while an owner does not answer; ports of the loopback cluster

A loopback run did not start: a port found free was taken by an outgoing connection of another cluster; ports now lie below those. Tests: test_moves, test_rebalancing pass.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -279,8 +279,8 @@
 """cores; a task that takes fewer still has to gain as much: its move costs the same writes."""
 MOVE_RETRY_S = 10.0
 """s; a job whose move was refused is not asked for again before."""
-MOVE_UNANSWERED_S = 300.0
-"""s; nor one of whose owner nothing was heard."""
+MOVE_REST_MAX_S = 300.0
+"""s; the pause doubles, up to this, while its owner does not answer at all."""
 MOVE_HOLD_S = 30.0
 """s; room at a destination is kept so long. A stop, its settlement and the next step take
 about a second; a source that is cut off is settled by its lease, which is shorter."""
--- a/appledock/core/moves.py
+++ b/appledock/core/moves.py
@@ -87,6 +87,8 @@
         """job of ours -> its move"""
         self.cooling: dict[str, float] = {}
         """job -> until when it is not moved again"""
+        self.unanswered: dict[str, int] = {}
+        """job -> moves in a row of which its owner said nothing"""
         self.outcomes: Counter[str] = Counter()
         """of moves that we planned"""
         self.ended: deque[Ended] = deque(maxlen=c.MOVES_KEPT)
@@ -320,12 +322,14 @@
         settings = self.engine.rebalancer.settings
         assert settings is not None
         rest_s = c.MOVE_RETRY_S
+        unanswered = self.unanswered.pop(job_id, 0)
         if outcome in (Outcome.DONE, Outcome.COOLING):
             rest_s = settings.moves.cooldown_s
         elif outcome == Outcome.NO_ANSWER:
             # Its owner may be of a version that knows no moves: the room that was kept for
             # nothing would be kept again and again.
-            rest_s = c.MOVE_UNANSWERED_S
+            rest_s = min(c.MOVE_REST_MAX_S, c.MOVE_RETRY_S * 2 ** min(10, unanswered))
+            self.unanswered[job_id] = unanswered + 1
         until = self.engine.now + rest_s
         self.cooling[job_id] = max(until, self.cooling.get(job_id, c.LONG_AGO))
 
@@ -365,6 +369,8 @@
                 self._rest(under_way.order.job, Outcome.NO_ANSWER)
                 self._note(under_way.order, Outcome.NO_ANSWER)
         self.cooling = {job: until for job, until in self.cooling.items() if until > now}
+        for job_id in self.unanswered.keys() - self.engine.replica.jobs.keys():
+            del self.unanswered[job_id]
 
     def _over(self, under_way: UnderWay) -> Outcome | None:
         engine, order = self.engine, under_way.order
--- a/appledock/rebalancing/settings.py
+++ b/appledock/rebalancing/settings.py
@@ -64,7 +64,7 @@
     """time constant of the load that the planner trusts"""
     trigger: Ratio = 1.25
     """dead band: load over the mean below which nothing is moved off a machine"""
-    min_gain: Annotated[float, Meta(gt=0, le=10)] = 0.1
+    min_gain: Annotated[float, Meta(gt=0, le=10)] = 0.2
     """least gain of a move, for each core of the task"""
     payback_s: Seconds = 120.0
     """time within which a move's gain must outweigh the work that it loses"""
--- a/tests/standins/sockets.py
+++ b/tests/standins/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import socket
 import threading
 import time
@@ -40,10 +41,21 @@
         self.loop.call_at(at, action)
 
 
+PORTS = range(20_000, 32_000)
+"""below those that the system gives to outgoing connections: one of these, found free, was
+taken by another cluster's connection before its controller listened on it"""
+
+
 def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return int(s.getsockname()[1])
+    """A port on which nobody listens."""
+    for port in random.sample(PORTS, 100):
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port")
 
 
 class Cluster:
--- a/tests/standins/spreading.py
+++ b/tests/standins/spreading.py
@@ -77,8 +77,9 @@
 
 
 def set_options(world: World, **options: float) -> None:
-    """Operators change settings through any controller."""
-    node = next(node for node in world.nodes.values() if node.up)
+    """Operators change settings through any controller that knows them."""
+    nodes = world.nodes.values()
+    node = next(node for node in nodes if node.up and hasattr(node.engine, "rebalancer"))
     body = json.dumps({"settings": options}).encode()
     node.request("PATCH", "/admin/v1/settings", body, lambda *_: None)
 
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from appledock import constants as c
 from appledock.core.messages import MoveHeld, MoveOrder, MoveRequested
 from appledock.core.moves import Moves, Outcome
 from appledock.core.replica import JOBS
@@ -227,6 +228,10 @@
     world.nodes[old].crash(0.2)
     world.nodes[old].code = production()
     world.clock.at(PEACE_S, world.peace)
+    world.clock.run(END_S - c.MOVE_HOLD_S - 10.0)
+    unanswered = outcomes(world).get(Outcome.NO_ANSWER, 0)
+    assert unanswered <= 3 * 6, "each of six jobs is asked for at doubling pauses"
+    set_options(world, moves_paused=1)
     world.clock.run(END_S)
     assert world.nodes[old].runs is production()
     assert world.judge.broken == [] and missing(world) == []
