--- a/appledock/app.py
+++ b/appledock/app.py
@@ -16,6 +16,7 @@
 from appledock.adapters.cloud import Cloud
 from appledock.adapters.store import Store
 from appledock.adapters.workers import WorkerCalls
+from appledock.capacity.settings import Capacity
 from appledock.core import events as ev
 from appledock.core.engine import Engine
 from appledock.metrics import Metrics
@@ -32,11 +33,16 @@
 class App:
     """One controller."""
 
-    def __init__(self, settings: Settings, rebalancing: Rebalancing | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        rebalancing: Rebalancing | None = None,
+        capacity: Capacity | None = None,
+    ) -> None:
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         rng = random.Random()
-        self.engine = Engine(settings, f"{rng.getrandbits(48):012x}", rng, rebalancing)
+        self.engine = Engine(settings, f"{rng.getrandbits(48):012x}", rng, rebalancing, capacity)
         self.queue: list[ev.Cmd] = []
         self.scheduled = False
         self.next_batch = 0.0
--- a/appledock/cli.py
+++ b/appledock/cli.py
@@ -8,17 +8,20 @@
 import os
 import re
 import sys
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 
 from appledock import __version__
+from appledock.capacity.settings import Capacity, CapacityError
+from appledock.capacity.settings import load as load_capacity
+from appledock.cli_capacity import capacity as capacity_commands
+from appledock.cli_requests import API, FAILED, JSON, USAGE, ask, fail, show, table
 from appledock.console.link import Link
 from appledock.constants import CONSOLE_BYTES_PER_S
-from appledock.net.http import Client, NoAnswer, NotSent
 from appledock.rebalancing.settings import Rebalancing, RebalancingError, schema
 from appledock.rebalancing.settings import load as load_rebalancing
-from appledock.settings import Settings, SettingsError, load, split_address
+from appledock.settings import Settings, SettingsError, load
 
 LEVELS = {
     "error": logging.ERROR,
@@ -27,8 +30,6 @@
     "debug": logging.DEBUG,
 }
 ADDRESS = re.compile(r"[^\s:]+:[0-9]{1,5}")
-FAILED, USAGE = 1, 2
-"""Exit codes: the request failed; the call or the file is wrong."""
 
 
 def set_up_logging() -> None:
@@ -43,12 +44,6 @@
         logging.getLogger().warning("unknown LOG_LEVEL %r, using info", name)
 
 
-def fail(text: str, code: int) -> NoReturn:
-    """End the program with an error message."""
-    click.echo(f"appledock: {text}", err=True)
-    sys.exit(code)
-
-
 def read_settings(path: str) -> Settings:
     """Read the settings file, or end the program."""
     try:
@@ -67,16 +62,27 @@
         fail(f"{path}: {error}", USAGE)
 
 
-def serve(path: str, rebalancing_path: str | None) -> None:
+def read_capacity(path: str | None, settings: Settings) -> Capacity | None:
+    """Read the file that enables capacity shares, or end the program."""
+    if path is None:
+        return None
+    try:
+        return load_capacity(path, settings)
+    except CapacityError as error:
+        fail(f"{path}: {error}", USAGE)
+
+
+def serve(path: str, rebalancing_path: str | None, capacity_path: str | None) -> None:
     """Run one controller until it is killed."""
     settings = read_settings(path)
     rebalancing = read_rebalancing(rebalancing_path, settings)
+    capacity = read_capacity(capacity_path, settings)
     set_up_logging()
 
     async def start() -> None:
         from appledock.app import App  # noqa: PLC0415  (the other commands start faster)
 
-        await App(settings, rebalancing).run()
+        await App(settings, rebalancing, capacity).run()
 
     try:
         asyncio.run(start())
@@ -86,107 +92,49 @@
         fail(str(error), FAILED)
 
 
-# --- the administration API -----------------------------------------------
-def ask(api: str, method: str, path: str, body: Any = None) -> Any:
-    """One request to the administration API; ends the program if it fails."""
-
-    async def request() -> tuple[int, bytes]:
-        client = Client(*split_address(api))
-        payload = b"" if body is None else json.dumps(body).encode()
-        try:
-            return await client.request(method, f"/admin/v1/{path}", payload, 5.0)
-        finally:
-            client.close()
-
-    try:
-        status, answer = asyncio.run(request())
-        reply = json.loads(answer)
-    except (NotSent, NoAnswer) as error:
-        fail(f"{api}: {error}", FAILED)
-    except ValueError as error:
-        fail(f"{api}: {error}", USAGE if "literal" in str(error) else FAILED)
-    if status != 200:
-        text = reply.get("error", answer.decode()) if isinstance(reply, dict) else answer.decode()
-        fail(f"{status}: {text}", FAILED)
-    return reply
-
-
-def cell(value: Any) -> str:
-    """A value as a table shows it."""
-    if value is None:
-        return "-"
-    if isinstance(value, bool):
-        return "yes" if value else "no"
-    if isinstance(value, float):
-        return f"{value:g}"
-    if isinstance(value, dict):
-        return " ".join(f"{k}={v}" for k, v in value.items()) or "-"
-    if isinstance(value, list):
-        return " ".join(map(str, value)) or "-"
-    return str(value)
-
-
-def table(rows: list[dict[str, Any]], columns: list[str]) -> None:
-    """Rows under their headings."""
-    lines = [columns, *([cell(row.get(name)) for name in columns] for row in rows)]
-    widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
-    for line in lines:
-        click.echo(
-            "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True)).rstrip()
-        )
-
-
-def show(reply: Any, as_json: bool, rows: list[dict[str, Any]], columns: list[str]) -> None:
-    """Print a reply as JSON or as a table."""
-    if as_json:
-        click.echo(json.dumps(reply, indent=2))
-    else:
-        table(rows, columns)
-
-
-API = click.option(
-    "--api",
-    metavar="HOST:PORT",
-    envvar="APPLEDOCK_API",
-    default="127.0.0.1:8080",
-    show_default=True,
-    help="A controller's public address (or APPLEDOCK_API).",
-)
 REBALANCING = click.option(
     "--rebalancing", metavar="FILE", help="Spread load as this file says (docs/operations)."
 )
-JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON instead of a table.")
+CAPACITY = click.option(
+    "--capacity", metavar="FILE", help="Share machines as this file says (docs/operations)."
+)
 
 
 @click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="appledock")
 @click.option("--config", metavar="FILE", help="Run a controller with this settings file.")
 @REBALANCING
+@CAPACITY
 @click.pass_context
-def main(context: click.Context, config: str | None, rebalancing: str | None) -> None:
+def main(
+    context: click.Context, config: str | None, rebalancing: str | None, capacity: str | None
+) -> None:
     """appledock, a cluster scheduler."""
     if context.invoked_subcommand is None:
         if config is None:
             click.echo(context.get_help())
             sys.exit(USAGE)
-        serve(config, rebalancing)
+        serve(config, rebalancing, capacity)
 
 
 @main.command()
 @click.option("--config", metavar="FILE", required=True, help="The platform's settings file.")
 @REBALANCING
-def run(config: str, rebalancing: str | None) -> None:
+@CAPACITY
+def run(config: str, rebalancing: str | None, capacity: str | None) -> None:
     """Run a controller until it is killed."""
-    serve(config, rebalancing)
+    serve(config, rebalancing, capacity)
 
 
 @main.command()
 @click.argument("file")
 @REBALANCING
-def check(file: str, rebalancing: str | None) -> None:
+@CAPACITY
+def check(file: str, rebalancing: str | None, capacity: str | None) -> None:
     """Check a settings file, and the files of parts with it."""
     settings = read_settings(file)
     read_rebalancing(rebalancing, settings)
+    read_capacity(capacity, settings)
     click.echo(f"{file}: good, {settings.name} of {settings.cluster.size} controllers")
 
 
@@ -411,3 +359,6 @@
 def log_level(api: str, level: str) -> None:
     """Change how much a controller logs, until it restarts."""
     click.echo(ask(api, "PUT", "log-level", {"level": level})["level"])
+
+
+main.add_command(capacity_commands)
--- a/appledock/console/rows.py
+++ b/appledock/console/rows.py
@@ -39,6 +39,17 @@
     """is that within its bound?"""
 
 
+class PartitionRow(Struct, frozen=True, array_like=True):
+    """What a partition has of a pool; its name is partition.pool."""
+
+    target: int
+    held: int
+    leaving: int
+    """machines that it is to hand over once they are empty"""
+    tasks: int
+    controller: str
+
+
 class WorkerRow(Struct, frozen=True, array_like=True):
     """A worker and its load."""
 
@@ -57,12 +68,13 @@
     state: str
 
 
-Row = ClusterRow | ControllerRow | TeamRow | WorkerRow | MoveRow
+Row = ClusterRow | ControllerRow | TeamRow | PartitionRow | WorkerRow | MoveRow
 
 TYPES: dict[str, type[Row]] = {
     "cluster": ClusterRow,
     "controller": ControllerRow,
     "team": TeamRow,
+    "partition": PartitionRow,
     "worker": WorkerRow,
     "move": MoveRow,
 }
--- a/appledock/console/screen.py
+++ b/appledock/console/screen.py
@@ -23,6 +23,7 @@
     ClusterRow,
     ControllerRow,
     MoveRow,
+    PartitionRow,
     Row,
     TeamRow,
     WorkerRow,
@@ -34,6 +35,7 @@
 COLUMNS = {
     "controller": ("controller", "role", "heard", "workers"),
     "team": ("team", "cores", "most on one", "worker", "in bound"),
+    "partition": ("partition", "target", "held", "leaving", "tasks", "controller"),
     "worker": ("worker", "load", "", "owner", "teams", "note"),
     "move": ("move", "from", "to", "state"),
 }
@@ -48,6 +50,9 @@
         case TeamRow():
             bound = "yes" if row.within else "NO"
             return (name, f"{row.cpus:g}/{row.cpus_max:g}", f"{row.most:.2f}", row.machine, bound)
+        case PartitionRow():
+            counts = (str(row.target), str(row.held), str(row.leaving), str(row.tasks))
+            return (name, *counts, row.controller)
         case WorkerRow():
             return (name, f"{row.load:.2f}", bar(row.load), row.owner, row.teams, row.note)
         case MoveRow():
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -291,6 +291,28 @@
 MOVES_KEPT = 50
 """moves; ended ones that a controller remembers for its operators."""
 
+# --- Capacity shares ------------------------------------------------------
+CAPACITY_FORMAT = 3
+"""of records; from it on who holds a machine is written, and steps are conditional on it."""
+CAPACITY_BUCKETS = 16
+"""records; of who holds which machine. 4,000 machines in them are 2.5 KB each, and a step that
+uses machines of all of them has 20 conditions: four for each write, at the least limit of five."""
+PREFERRED_STEADY_S = 5.0
+"""s; a partition's controller that comes and goes gets no jobs before it has stayed so long."""
+PREFERRED_HAND_EVERY_S = 0.5
+"""s; a controller hands over one job in that time: hundreds at once would be hundreds of writes."""
+REPLICA_LEAVES_S = 10.0
+TASK_LEAVES_S = 1.0
+"""s; that a replica takes to be moved, and a task beyond its estimate may still take: for the
+choice which machine to hand over, and for forecasts."""
+DRAIN_REST_S = 2.0
+"""s; between two moves of a job whose machines are handed over: until the replica that moved
+is seen running."""
+REQUEST_ID_MAX = 100
+"""characters; of the name of a request that may be repeated."""
+DEADLINE_MAX_S = 86_400.0
+"""s; latest moment that a change of shares may name for stopping tasks that save: a day."""
+
 # --- Fleet ----------------------------------------------------------------
 LIST_EVERY_S = 2.0
 """s; how often the leader reads the machine list."""
--- a/appledock/core/admin.py
+++ b/appledock/core/admin.py
@@ -17,6 +17,7 @@
 from appledock.core.jobs import Attempt, Job
 from appledock.core.quota import NOTHING
 from appledock.core.replica import SETTINGS
+from appledock.core.shares_api import SharesApi
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -79,6 +80,7 @@
         self.engine = engine
         self.values: dict[str, float] = {name: o.default for name, o in OPTIONS.items()}
         self.feed = ConsoleFeed(engine)
+        self.shares = SharesApi(engine)
         self._readers: dict[str, Callable[[], dict[str, Any]]] = {
             "status": self.status,
             "jobs": lambda: {"jobs": self.jobs()},
@@ -86,6 +88,7 @@
             "teams": lambda: {"teams": self.teams()},
             "settings": self.settings,
             "rebalancing": engine.rebalancer.summary,
+            "capacity": engine.shares.summary,
         }
         """path -> what `GET` answers there"""
 
@@ -111,6 +114,8 @@
                 self._answer(cmd, read())
             case ("GET", "changes", incarnation, version, limit):
                 self._changes(cmd, incarnation, version, limit)
+            case ("POST", "capacity", ("propose" | "apply" | "withdraw") as action):
+                self.shares.request(cmd, action)
             case ("PATCH", "settings"):
                 self._change(cmd)
             case ("POST", "machines", name, ("cordon" | "uncordon" | "drain") as action):
--- a/appledock/core/console_feed.py
+++ b/appledock/core/console_feed.py
@@ -11,6 +11,7 @@
     ClusterRow,
     ControllerRow,
     MoveRow,
+    PartitionRow,
     Row,
     TeamRow,
     WorkerRow,
@@ -42,6 +43,7 @@
             "cluster/": self._cluster(),
             **self._controllers(),
             **self._teams(),
+            **self._partitions(),
             **self._moves(),
             **self._workers(),
         }
@@ -99,6 +101,20 @@
             )
         return rows
 
+    def _partitions(self) -> dict[str, Row]:
+        summary = self.engine.shares.summary()
+        return {
+            f"partition/{name}.{pool}": PartitionRow(
+                row["target"],
+                row["held"],
+                len(row["leaving"]),
+                row["tasks"],
+                row["controller"] or "",
+            )
+            for pool, state in summary.get("pools", {}).items()
+            for name, row in state["partitions"].items()
+        }
+
     def _moves(self) -> dict[str, Row]:
         return {
             f"move/{x.order.job}/{x.order.task}": MoveRow(
--- a/appledock/core/engine.py
+++ b/appledock/core/engine.py
@@ -12,6 +12,7 @@
 
 from appledock import constants as c
 from appledock import wire
+from appledock.capacity.settings import Capacity
 from appledock.core import events as ev
 from appledock.core import messages
 from appledock.core.admin import AdminApi
@@ -29,6 +30,7 @@
 from appledock.core.replica import Replica, View, key_kind
 from appledock.core.requests import Requests
 from appledock.core.rooms import Rooms
+from appledock.core.shares import CapacityShares
 from appledock.core.state_reader import StateReader
 from appledock.core.steps import Steps
 from appledock.core.workers import Worker, Workers
@@ -47,6 +49,7 @@
         incarnation: str,
         rng: random.Random,
         rebalancing: Rebalancing | None = None,
+        capacity: Capacity | None = None,
     ) -> None:
         self.settings = settings
         self.incarnation = incarnation
@@ -89,6 +92,7 @@
         self.workers = Workers(self)
         self.rooms = Rooms(self)
         self.rebalancer = Rebalancer(self, rebalancing)
+        self.shares = CapacityShares(self, capacity)
         self.moves = Moves(self)
         self.quota = Quota(self)
         self.queue_order = QueueOrder(self)
@@ -195,6 +199,7 @@
             self.fleet.tick,
             self.moves.tick,
             self.rebalancer.tick,
+            self.shares.tick,
         ):
             try:
                 tick()
@@ -215,6 +220,10 @@
             self.rooms.touch_all()
             self.acted_view = view
             self.queue_dirty = True
+        if replica.capacity.changed:
+            self.rooms.dirty |= replica.capacity.changed
+            replica.capacity.changed.clear()
+            self.queue_dirty = True
         if replica.settings_changed:
             replica.settings_changed = False
             self.admin.apply()
--- a/appledock/core/job_writer.py
+++ b/appledock/core/job_writer.py
@@ -95,6 +95,7 @@
             engine.steps.blocked[job.id] = TEAM_RECORD_UNDER_WAY
             return False
         plan = self._plan(job, new, over, record)
+        plan.conditions.update(engine.shares.conditions(reserved or []))
         self.busy.add(job.id)
         if reserved:
             engine.rooms.reserve(job.id, reserved)
--- a/appledock/core/membership.py
+++ b/appledock/core/membership.py
@@ -68,6 +68,11 @@
         """last moment without authority"""
 
     # --- state ------------------------------------------------------------
+    @property
+    def newest_format(self) -> int:
+        """The newest format that this node reads: shares of machines only where they are on."""
+        return c.CAPACITY_FORMAT if self.engine.shares.enabled else NEWEST_FORMAT
+
     @property
     def view(self) -> View | None:
         """The newest view known."""
@@ -143,12 +148,12 @@
         """
         replica = self.engine.replica
         if (
-            replica.format[1] >= NEWEST_FORMAT
+            replica.format[1] >= self.newest_format
             or self.raising
             or self.engine.now < self.next_raise
             or not self.leader()
             or len(replica.members) < self.engine.settings.cluster.size
-            or any(member.format < NEWEST_FORMAT for member in replica.members.values())
+            or any(member.format < self.newest_format for member in replica.members.values())
         ):
             return
         self.raising = True
@@ -159,18 +164,18 @@
                 FORMAT: replica.format[0],
                 **{MEMBERS + node: member.version for node, member in replica.members.items()},
             },
-            [Put(FORMAT, {"format": NEWEST_FORMAT})],
+            [Put(FORMAT, {"format": self.newest_format})],
         )
 
         def done(reply: StoreReply) -> None:
             self.raising = False
             self.next_raise = self.engine.now + c.TOUCH_RETRY_S
             if reply.outcome == "ok":
-                replica.put(FORMAT, {"format": NEWEST_FORMAT}, reply.data.revision)
+                replica.put(FORMAT, {"format": self.newest_format}, reply.data.revision)
                 log.info(
                     "all %d nodes read records of format %d: it is in use from now on",
                     len(replica.members),
-                    NEWEST_FORMAT,
+                    self.newest_format,
                 )
             elif reply.outcome == "conflict":
                 self.engine.reader.read_keys(reply.data.failed)
@@ -236,7 +241,7 @@
         members[self.node] = self.incarnation
         new = self._next_view(members)
         lease = self.lease
-        value = {"incarnation": self.incarnation, "lease": lease, "format": NEWEST_FORMAT}
+        value = {"incarnation": self.incarnation, "lease": lease, "format": self.newest_format}
         plan = TxnPlan(
             {MEMBERS + self.node: old_version, VIEW: view.version if view else 0},
             [Put(MEMBERS + self.node, value, lease), Put(VIEW, new.encode())],
--- a/appledock/core/moves.py
+++ b/appledock/core/moves.py
@@ -25,6 +25,7 @@
 from appledock.core.messages import MoveEnded, MoveHeld, MoveMessage, MoveOrder, MoveRequested
 from appledock.core.placement import Room, Sampling
 from appledock.core.rooms import Entry
+from appledock.rebalancing.settings import Moves as MoveRules
 
 if TYPE_CHECKING:
     from appledock.core.engine import Engine
@@ -32,6 +33,9 @@
 
 log = logging.getLogger(__name__)
 
+DEFAULT_RULES = MoveRules()
+"""where load is not spread, and replicas are moved off machines that change hands"""
+
 
 class Outcome(enum.StrEnum):
     """What came of a move."""
@@ -95,6 +99,21 @@
         self.numbers = 0
         self.next_look = 0.0
 
+    @property
+    def enabled(self) -> bool:
+        """Does any part move tasks?"""
+        return self.engine.rebalancer.enabled or self.engine.shares.enabled
+
+    @property
+    def rules(self) -> MoveRules:
+        """Pace and damping."""
+        settings = self.engine.rebalancer.settings
+        return settings.moves if settings is not None else DEFAULT_RULES
+
+    def hears(self, node: str) -> bool:
+        """Would the controller hear of a move, and would we hear what came of it?"""
+        return node == self.engine.settings.name or self.engine.heartbeats.reached(node)
+
     # --- planner ----------------------------------------------------------
     def request(self, proposal: Proposal) -> None:
         """Ask the destination's owner for a move."""
@@ -157,7 +176,7 @@
 
     def _refused_here(self, order: MoveOrder) -> Outcome | None:
         engine = self.engine
-        if not engine.rebalancer.enabled:
+        if not self.enabled:
             return Outcome.OFF
         refusal = self._refused_anywhere(order)
         if refusal is not None:
@@ -210,9 +229,10 @@
         job = engine.replica.jobs[order.job]
         if not engine.owns_job(job):
             return Outcome.NOT_OURS
-        if not engine.rebalancer.enabled:
+        if not self.enabled:
             return Outcome.OFF
-        if not engine.rebalancer.movable(job.spec):
+        drains = engine.shares.drains(job.spec, order.source)
+        if not drains and not engine.rebalancer.movable(job.spec):
             return Outcome.NOT_ALLOWED
         if order.job in self.active or not engine.steps.writer.ready(job):
             return Outcome.BUSY
@@ -239,9 +259,7 @@
 
     def _refused_by_replicas(self, job: Job) -> Outcome | None:
         """A service keeps its replicas, less a stated number, up during moves."""
-        settings = self.engine.rebalancer.settings
-        assert settings is not None
-        least = job.spec.tasks - settings.moves.replicas_down
+        least = job.spec.tasks - self.rules.replicas_down
         if job.spec.service and self.engine.running(job) - 1 < least:
             return Outcome.REPLICAS
         return None
@@ -297,9 +315,7 @@
         under_way = self.active.get(order.job)
         if under_way is not None and under_way.order == order:
             del self.active[order.job]
-            settings = self.engine.rebalancer.settings
-            assert settings is not None
-            self.cooling[order.job] = self.engine.now + settings.moves.cooldown_s
+            self.cooling[order.job] = self.engine.now + self._cooldown_s(order)
         self._release(order)
         holder = self.engine.replica.owner_of(order.destination)
         for node in {holder, order.planner}:
@@ -314,17 +330,20 @@
             planned = self.planned.get(order.number)
             if planned is not None and planned.order == order:
                 del self.planned[order.number]
-                self._rest(order.job, outcome)
+                self._rest(order, outcome)
                 self._note(order, outcome)
 
-    def _rest(self, job_id: str, outcome: str) -> None:
+    def _cooldown_s(self, order: MoveOrder) -> float:
+        """How long a job that was moved rests; hardly, if its machine is to be handed over."""
+        return c.DRAIN_REST_S if self.engine.shares.leaving(order.source) else self.rules.cooldown_s
+
+    def _rest(self, order: MoveOrder, outcome: str) -> None:
         """As the planner: ask no more for this job for a while; its owner would refuse."""
-        settings = self.engine.rebalancer.settings
-        assert settings is not None
+        job_id = order.job
         rest_s = c.MOVE_RETRY_S
         unanswered = self.unanswered.pop(job_id, 0)
         if outcome in (Outcome.DONE, Outcome.COOLING):
-            rest_s = settings.moves.cooldown_s
+            rest_s = self._cooldown_s(order)
         elif outcome == Outcome.NO_ANSWER:
             # Its owner may be of a version that knows no moves: the room that was kept for
             # nothing would be kept again and again.
@@ -366,7 +385,7 @@
         for under_way in list(self.planned.values()):
             if now >= under_way.until + c.MOVE_LOOK_EVERY_S:
                 del self.planned[under_way.order.number]
-                self._rest(under_way.order.job, Outcome.NO_ANSWER)
+                self._rest(under_way.order, Outcome.NO_ANSWER)
                 self._note(under_way.order, Outcome.NO_ANSWER)
         self.cooling = {job: until for job, until in self.cooling.items() if until > now}
         for job_id in self.unanswered.keys() - self.engine.replica.jobs.keys():
--- a/appledock/core/placement.py
+++ b/appledock/core/placement.py
@@ -12,6 +12,17 @@
 from appledock.rebalancing.picture import Load, task_share
 
 
+class Gate(Protocol):
+    """Says whose jobs a machine takes."""
+
+    @property
+    def partition(self) -> str | None:
+        """Whose machine it is; None: nobody's, at present."""
+
+    def admits(self, spec: wire.JobSpec) -> bool:
+        """May a step of the job use the machine?"""
+
+
 @dataclass(slots=True)
 class Room:
     """What one machine has free."""
@@ -29,6 +40,8 @@
     owner: str = ""
     strikes: int = 0
     """how often tasks of other jobs failed here"""
+    gate: Gate | None = None
+    """whose jobs it takes; None: anybody's"""
     load: Load | None = None
     """committed shares; None where load is not spread"""
 
@@ -83,11 +96,12 @@
 
 
 def allowed_on(spec: wire.JobSpec, room: Room) -> bool:
-    """Do type, zone and kind (spot or ordinary) admit the job, whatever is free?"""
+    """Do type, zone, kind (spot or ordinary) and holder admit the job, whatever is free?"""
     return (
         (spec.types is None or room.type.name in spec.types)
         and (spec.zone is None or spec.zone == room.zone)
         and (spec.spot or not room.spot)
+        and (room.gate is None or room.gate.admits(spec))
     )
 
 
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -202,7 +202,9 @@
         if count <= 0:
             return None
         options = self._options(job, zones, within_team)
-        own = [option for option in options if option.room.owner == self.e.settings.name]
+        ours = self.e.shares.places_everywhere(job)
+        me = self.e.settings.name
+        own = [option for option in options if ours or option.room.owner == me]
         if not own:
             return options[0].room.owner if options else None
         if job.spec.one_zone or job.spec.spread:
--- a/appledock/core/rebalancer.py
+++ b/appledock/core/rebalancer.py
@@ -155,6 +155,7 @@
             room.memory_gb,
             frozenset(room.images),
             failing=room.strikes > 0,
+            gate=room.gate,
         )
 
     def _plan_own(self) -> None:
@@ -236,7 +237,7 @@
                 and job.queued == 0
                 and not engine.replica.withdrawn(job_id)
                 and not engine.moves.rests(job_id)
-                and self._heard(engine.replica.job_owner(job))
+                and engine.moves.hears(engine.replica.job_owner(job))
             )
             for attempt in attempts:
                 if attempt.stopping or attempt.session != worker.session:
@@ -252,10 +253,6 @@
                     )
         return result
 
-    def _heard(self, node: str) -> bool:
-        """Would the controller hear of a move, and would we hear what came of it?"""
-        return node == self.engine.settings.name or self.engine.heartbeats.reached(node)
-
     def _carry_out(self, plan: Plan) -> None:
         for proposal in plan.proposals:
             if self.engine.admin["moves_dry_run"]:
--- a/appledock/core/replica.py
+++ b/appledock/core/replica.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from appledock import constants as c
+from appledock.core.capacity_records import CAPACITY, CapacityRecords
 from appledock.core.dependencies import Dependencies
 from appledock.core.jobs import Attempt, Job, decode
 
@@ -125,6 +126,7 @@
         """open jobs that are cancelled"""
         self.format: tuple[int, int] = (0, 1)
         """version of the record, and the format of records that is in use"""
+        self.capacity = CapacityRecords()
         self.needs = Dependencies()
         self.queued: set[str] = set()
         """open jobs with tasks that wait for a step, and for no other job"""
@@ -186,6 +188,8 @@
             return max(known, self.settings[0])
         if key == FORMAT:
             return max(known, self.format[0])
+        if key.startswith(CAPACITY):
+            return max(known, self.capacity.version(key))
         return known
 
     def put(self, key: str, value: Any, version: int) -> None:
@@ -236,6 +240,8 @@
         elif key == FORMAT:
             # Never back: records of the newer format may be there.
             self.format = (version, max(self.format[1], int(value["format"])))
+        elif key.startswith(CAPACITY):
+            self.capacity.put(key, value, version)
 
     def drop(self, key: str, version: int) -> None:
         if version <= self._version(key):
@@ -251,6 +257,8 @@
         elif key == SETTINGS:
             self.settings = (0, {})
             self.settings_changed = True
+        elif key.startswith(CAPACITY):
+            self.capacity.drop(key)
 
     def add_final(self, job: str, state: str) -> None:
         self.finals[job] = state
--- a/appledock/core/requests.py
+++ b/appledock/core/requests.py
@@ -238,18 +238,24 @@
             return "fits no allowed machine type"
         return None
 
+    def _first_owner(self, job: Job) -> tuple[str, str] | None:
+        """Who owns a new job, if not who is derived: recorded with the job, it costs no write."""
+        member, view = self.e.membership, self.e.replica.view
+        if not member.acting() or view is None:
+            return None
+        preferred = self.e.shares.preferred(job)
+        if preferred is not None:
+            return (preferred, view.members[preferred])
+        if not self.e.heartbeats.works(view.owner_of(job.id)):
+            # Its owner would not see it before its lease is over: it is ours.
+            return (member.node, member.incarnation)
+        return None
+
     def _create(self, asked: Asked) -> None:
         spec = asked.spec
         assert spec is not None
         job = Job(spec, self.e.wall)
-        member, view = self.e.membership, self.e.replica.view
-        if (
-            member.acting()
-            and view is not None
-            and not self.e.heartbeats.works(view.owner_of(spec.id))
-        ):
-            # Its owner would not see it before its lease is over: it is ours.
-            job.handoff = (member.node, member.incarnation)
+        job.handoff = self._first_owner(job)
         plan = TxnPlan(
             {JOBS + spec.id: 0, FINAL + spec.id: 0}, [Put(JOBS + spec.id, self.e.record(job))]
         )
--- a/appledock/core/rooms.py
+++ b/appledock/core/rooms.py
@@ -10,7 +10,7 @@
 
 from appledock import constants as c
 from appledock import wire
-from appledock.core.placement import Room
+from appledock.core.placement import Room, allowed_on
 from appledock.core.workers import Worker
 from appledock.rebalancing.picture import Load, task_share
 
@@ -72,6 +72,10 @@
         self.held.setdefault(machine, {})[spec.id] = spec
         self.dirty.add(machine)
 
+    def may_hold(self, room: Room, spec: wire.JobSpec) -> bool:
+        """Is no room kept there for another move, and may the job run there?"""
+        return not self.held.get(room.machine) and allowed_on(spec, room)
+
     def drop_hold(self, machine: str, job_id: str) -> None:
         """The room is needed no more, or taken."""
         jobs = self.held.get(machine)
@@ -138,7 +142,8 @@
             fetching,
             self.e.replica.owner_of(worker.id),
             len(worker.failed_jobs),
-            Load() if self.e.rebalancer.enabled else None,
+            self.e.shares.gate(worker),
+            Load() if self.e.rebalancer.enabled or self.e.shares.enabled else None,
         )
         recorded = self._take_recorded(worker, room, fetching)
         if recorded < len(worker.tasks) and self._stray(worker):
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -273,14 +273,22 @@
         moved = self.e.moves.place_held(job, rest, zones)
         if moved:
             return self._request_step(job, rest, moved, None)
-        scorer = self.e.rebalancer.scorer(job.spec)
-        if job.spec.service and not job.spec.gang and zones is not None and scorer is None:
+        ours = self.e.shares.places_everywhere(job)
+        if ours:
+            # Its partition's machines are filled by us alone, whoever owns their workers.
+            own = [
+                room
+                for room in rooms
+                if room.gate is not None and self.preemption.free_for(room.machine, job)
+            ]
+        elsewhere = self.e.rebalancer.scorer(job.spec) is None and not ours
+        if job.spec.service and not job.spec.gang and zones is not None and elsewhere:
             better = self._better_elsewhere(job, rooms, own, zones)
             if better == self.e.settings.name:
                 self.blocked[job.id] = "room is being made"
                 return False
             if better is not None:
-                return self._hand_over(job, better)
+                return self.hand_over(job, better)
         placed = self._find_room(job, count, rooms, own, zones or {})
         if not placed and self.preemption.claims.get(job.id):
             self.blocked[job.id] = "room is being made"
@@ -289,7 +297,9 @@
         used = dict(zones or {})
         for room, number in placed:
             used[room.zone] = used.get(room.zone, 0) + number
-        handoff = self.handoff.target(job, rooms, left, job.spec.gang, used) if left else None
+        handoff = None
+        if left and not ours:
+            handoff = self.handoff.target(job, rooms, left, job.spec.gang, used)
         if (
             placed
             and handoff is None
@@ -320,7 +330,7 @@
         if job.spec.gang:
             return False
         handoff = self.preemption.make_room(job, 1, zones, within_team=True)
-        return handoff is not None and self._hand_over(job, handoff)
+        return handoff is not None and self.hand_over(job, handoff)
 
     def _better_elsewhere(
         self, job: Job, rooms: list[Room], own: list[Room], zones: dict[str, int]
@@ -357,8 +367,9 @@
         handoff = None
         if not job.spec.gang and zones is not None:
             handoff = self.preemption.make_room(job, count, zones)
-        if handoff is None:
+        if handoff is None or self.e.shares.places_everywhere(job):
             self.blocked[job.id] = "no room"
+            return None
         return handoff
 
     def _request_step(
@@ -418,7 +429,7 @@
     def _priority(job: Job) -> Priority:
         return Priority.URGENT if job.spec.service else Priority.STEP
 
-    def _hand_over(self, job: Job, node: str) -> bool:
+    def hand_over(self, job: Job, node: str) -> bool:
         """Pass a job on without placing anything."""
         view = self.e.replica.view
         assert view is not None
--- a/appledock/rebalancing/picture.py
+++ b/appledock/rebalancing/picture.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from appledock import constants as c
 from appledock import wire
@@ -125,6 +126,13 @@
     """may it be stopped for balance at all?"""
 
 
+class Gate(Protocol):
+    """Says whose jobs a machine takes."""
+
+    def admits(self, spec: wire.JobSpec) -> bool:
+        """May a task of the job run there?"""
+
+
 @dataclass(slots=True)
 class MachineLoad:
     """One machine that takes steps."""
@@ -147,6 +155,8 @@
     """read for machines that tasks may be moved from"""
     failing: bool = False
     """tasks of different jobs failed on it"""
+    gate: Gate | None = None
+    """whose jobs it takes; None: anybody's"""
 
     def fits(self, spec: wire.JobSpec) -> bool:
         """Is there room for one task?"""
--- a/appledock/rebalancing/planner.py
+++ b/appledock/rebalancing/planner.py
@@ -240,6 +240,8 @@
             return False
         if (spec.one_zone or spec.spread) and machine.zone != source.zone:
             return False
+        if machine.gate is not None and not machine.gate.admits(spec):
+            return False  # a move never crosses a share
         return (
             (spec.types is None or machine.machine_type.name in spec.types)
             and (spec.zone is None or spec.zone == machine.zone)
--- a/tests/loopback/__main__.py
+++ b/tests/loopback/__main__.py
@@ -234,7 +234,8 @@
     folder.mkdir(parents=True, exist_ok=True)
     rules = folder / "rebalancing.toml"
     rules.write_text(RULES)
-    async with LoopbackCluster(folder, TEAMS, rules if on else None, seed) as cluster:
+    options = ["--rebalancing", str(rules)] if on else []
+    async with LoopbackCluster(folder, TEAMS, options, seed) as cluster:
         cluster.cloud.add_machines(FEW, 0.5)
         await cluster.healthy()
         run = Run(cluster, workers, seconds, began=cluster.clock.now)
--- a/tests/loopback/cluster.py
+++ b/tests/loopback/cluster.py
@@ -92,7 +92,7 @@
     cloud: LoopbackCloud
 
     def __init__(
-        self, folder: Path, teams: dict[str, float], rebalancing: Path | None, seed: int
+        self, folder: Path, teams: dict[str, float], options: list[str], seed: int
     ) -> None:
         self.loop = asyncio.get_running_loop()
         clock = RealClock(self.loop)
@@ -100,7 +100,7 @@
         super().__init__(clock, Judge(clock, teams, CANCEL_S))
         self.names = list(NAMES)
         self.teams = teams
-        self.folder, self.rebalancing = folder, rebalancing
+        self.folder, self.options = folder, options
         self.state, self.cloud = State(clock, write_rps=40.0), LoopbackCloud(self)
         self.controllers: dict[str, Controller] = {}
         self.relays: dict[tuple[str, str], Relay] = {}
@@ -119,7 +119,7 @@
                     self.relays[source, target] = Relay(ports[target][1])
         for name in self.names:
             settings = await self._settings(name, ports)
-            self.controllers[name] = Controller(name, settings, self.folder, self.rebalancing)
+            self.controllers[name] = Controller(name, settings, self.folder, self.options)
         for controller in self.controllers.values():
             controller.start()
         self._look()
@@ -219,12 +219,12 @@
     def _balanced(self) -> list[str]:
         return [name for name in self.names if self.controllers[name].up()]
 
-    async def admin(self, node: str, path: str, body: Any = None) -> Any:
-        """A request to the administration API; None without an answer."""
+    async def admin(self, node: str, path: str, body: Any = None, method: str = "") -> Any:
+        """A request to the administration API; None without an answer, or a good one."""
         host, _, port = self.controllers[node].api.partition(":")
         client = Client(host, int(port))
         payload = b"" if body is None else json.dumps(body).encode()
-        method = "GET" if body is None else "PATCH"
+        method = method or ("GET" if body is None else "PATCH")
         try:
             status, reply = await client.request(method, f"/admin/v1/{path}", payload, 3.0)
         except (NotSent, NoAnswer):
--- a/tests/loopback/controller.py
+++ b/tests/loopback/controller.py
@@ -16,14 +16,14 @@
     """A controller process with its settings file and its log."""
 
     def __init__(
-        self, name: str, settings: dict[str, Any], folder: Path, rebalancing: Path | None
+        self, name: str, settings: dict[str, Any], folder: Path, options: list[str]
     ) -> None:
         self.name = name
         self.api: str = settings["public_addr"]
         self.folder = folder
         self.config = folder / f"{name}.json"
         self.config.write_text(json.dumps(settings))
-        self.options = ["--rebalancing", str(rebalancing)] if rebalancing else []
+        self.options = options
         self.process: subprocess.Popen[bytes] | None = None
         self.starts = 0
 
--- a/tests/standins/node.py
+++ b/tests/standins/node.py
@@ -66,6 +66,7 @@
             f"{self.name}.{self.life}",
             rng,
             self.world.rebalancing,
+            self.world.shares,
         )
         self.inbox: list[Any] = []
         self.answers: dict[int, Answer] = {}
--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -69,8 +69,9 @@
         incarnation: str,
         rng: random.Random,
         rebalancing: Any = None,
+        capacity: Any = None,
     ) -> Any:
-        """A controller that has just started; earlier versions know no rebalancing."""
+        """A controller that has just started; earlier versions know no such parts."""
         return self.engine.Engine(self.settings.parse(settings_file), incarnation, rng)
 
     def view(self, controller: Any) -> Any:
@@ -164,9 +165,10 @@
         incarnation: str,
         rng: random.Random,
         rebalancing: Any = None,
+        capacity: Any = None,
     ) -> Any:
         settings = self.settings.parse(settings_file)
-        return self.engine.Engine(settings, incarnation, rng, rebalancing)
+        return self.engine.Engine(settings, incarnation, rng, rebalancing, capacity)
 
     def hears(self, controller: Any, peer: str) -> bool:
         return bool(controller.heartbeats.reached(peer))
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from appledock import wire
+from appledock.capacity.settings import Capacity
 from appledock.core.replica import View
 from appledock.rebalancing.settings import Rebalancing
 from tests.standins import deployment
@@ -29,9 +30,10 @@
         code: Code | None = None,
         announced: dict[str, Any] | None = None,
         rebalancing: Rebalancing | None = None,
+        shares: Capacity | None = None,
     ) -> None:
         self.code, self.announced = code or present(), announced
-        self.rebalancing = rebalancing
+        self.rebalancing, self.shares = rebalancing, shares
         clock = Clock(seed)
         limits = {team: most for team, (_, most) in deployment.TEAMS.items()}
         super().__init__(clock, Judge(clock, limits, deployment.CANCEL_S))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -88,6 +88,15 @@
     assert request(cluster, "GET", "/admin/v1/nothing")[0] == 404
 
 
+def test_parts_that_are_off_say_so(cluster: Cluster) -> None:
+    for command in (["load"], ["moves"], ["capacity", "show"]):
+        result = run(*command, "--api", cluster.api)
+        assert result.exit_code == 1 and "off" in result.stderr
+    change = ["all.x=0.5", "--api", cluster.api]
+    assert "404" in run("capacity", "apply", *change).stderr
+    assert run("capacity", "propose", "x", "--api", cluster.api).exit_code == 2
+
+
 def test_machines_and_log_level(cluster: Cluster) -> None:
     assert "no such machine" in run("cordon", "vm-1", "--api", cluster.api).stderr
     assert run("log-level", "debug", "--api", cluster.api).stdout == "debug\n"
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -20,7 +20,8 @@
     """Load is spread over workers that join, while a controller is killed and comes back."""
     rules = folder / "rebalancing.toml"
     rules.write_text(RULES)
-    async with LoopbackCluster(folder, {"booking": 24.0, "reload": 8.0}, rules, 1) as cluster:
+    options, teams = ["--rebalancing", str(rules)], {"booking": 24.0, "reload": 8.0}
+    async with LoopbackCluster(folder, teams, options, 1) as cluster:
         cluster.cloud.add_machines(3, 0.2)
         await cluster.healthy(120.0)
         await cluster.admin("n0", "settings", {"settings": {"idle_return_s": 3600}})
