Capacity shares: lending, and histories in compressed files

Change: with lend, what was spare for a while is lent, marked as such in the records, and given back by drains; appledock capacity history collects into a zstandard file, which the loopback measurement reads too. Found by its test: machines being given back were forgotten in the pass that wrote them; they are told from the record now. A file that ends early is noticed. Tests: a model of loans, plays of lending and giving back pass.

--- a/appledock/capacity/assignment.py
+++ b/appledock/capacity/assignment.py
@@ -10,7 +10,6 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from appledock.capacity.apportion import apportion
 from appledock.capacity.holdings import Holding
 
 
@@ -32,18 +31,26 @@
         return not self.tasks
 
 
-def next_holdings(machines: list[MachineUse], shares: dict[str, float]) -> dict[str, Holding]:
-    """The holdings that change now, by machine; all machines are of one pool."""
-    return _Pass(machines, shares).run()
+def next_holdings(
+    machines: list[MachineUse], target: dict[str, int], own: dict[str, int] | None = None
+) -> dict[str, Holding]:
+    """The holdings that change now, by machine; all machines are of one pool.
+
+    `target`: how many of them each partition shall hold; `own`: how many of those are its own,
+    the others being lent to it.
+    """
+    return _Pass(machines, target, target if own is None else own).run()
 
 
 class _Pass:
     """One look at a pool."""
 
-    def __init__(self, machines: list[MachineUse], shares: dict[str, float]) -> None:
+    def __init__(
+        self, machines: list[MachineUse], target: dict[str, int], own: dict[str, int]
+    ) -> None:
+        self.own = own
         self.machines = sorted(machines, key=lambda machine: machine.name)
-        self.shares = shares
-        self.target = apportion(len(machines), shares)
+        self.target = target
         self.changes: dict[str, Holding] = {}
         self.held = Counter(
             machine.holding.partition
@@ -67,13 +74,14 @@
         return sorted((n for n in lacks if lacks[n] > 0), key=lambda n: (-lacks[n], n))
 
     def _hold(self, machine: MachineUse, partition: str) -> None:
-        self.changes[machine.name] = Holding(partition)
+        lent = self.held[partition] >= self.own.get(partition, 0)
+        self.changes[machine.name] = Holding(partition, lent=lent)
         self.held[partition] += 1
 
     def _leave(self, machine: MachineUse) -> None:
         assert machine.holding is not None
         if not machine.holding.leaving:
-            self.changes[machine.name] = Holding(machine.holding.partition, leaving=True)
+            self.changes[machine.name] = machine.holding.left()
             self.held[machine.holding.partition] -= 1
 
     def _take_back(self) -> None:
@@ -121,7 +129,12 @@
                 and not machine.holding.leaving
                 and machine.name not in self.changes
             ),
-            key=lambda machine: (machine.cost, sum(machine.tasks.values()), machine.name),
+            key=lambda machine: (
+                machine.holding is not None and not machine.holding.lent,
+                machine.cost,
+                sum(machine.tasks.values()),
+                machine.name,
+            ),
         )
         for machine in candidates:
             assert machine.holding is not None
--- a/appledock/capacity/holdings.py
+++ b/appledock/capacity/holdings.py
@@ -16,6 +16,21 @@
     partition: str
     leaving: bool = False
     """the holder starts nothing more there; when it is empty, another one gets it"""
+    lent: bool = False
+    """it is one more than the holder's share: its lender has it back when in need"""
+
+    def left(self) -> Holding:
+        """The same, being left."""
+        return Holding(self.partition, True, self.lent)
+
+
+SECTIONS = {
+    "held": (False, False),
+    "leaving": (True, False),
+    "lent": (False, True),
+    "returning": (True, True),
+}
+"""part of a record -> whether its machines are being left, and whether they are lent"""
 
 
 @dataclass(slots=True)
@@ -26,27 +41,25 @@
     holdings: dict[str, Holding] = field(default_factory=dict)
 
     def encode(self) -> dict[str, Any]:
-        """Names by partition, those that are being handed over apart."""
-        return {
-            "held": self._names(leaving=False),
-            "leaving": self._names(leaving=True),
-        }
+        """Names by section and partition; sections without any are left out."""
+        sections = {name: self._names(*flags) for name, flags in SECTIONS.items()}
+        return {name: names for name, names in sections.items() if names}
 
-    def _names(self, *, leaving: bool) -> dict[str, str]:
+    def _names(self, leaving: bool, lent: bool) -> dict[str, str]:
         names: dict[str, list[str]] = {}
         for machine, holding in sorted(self.holdings.items()):
-            if holding.leaving == leaving:
+            if (holding.leaving, holding.lent) == (leaving, lent):
                 names.setdefault(holding.partition, []).append(machine)
         return {partition: " ".join(machines) for partition, machines in sorted(names.items())}
 
 
 def decode(record: dict[str, Any], version: int) -> Bucket:
-    """The bucket of a record; raises KeyError, TypeError or AttributeError if malformed."""
+    """The bucket of a record; raises TypeError or AttributeError if malformed."""
     bucket = Bucket(version)
-    for field_name, leaving in (("held", False), ("leaving", True)):
-        for partition, names in record[field_name].items():
+    for section, (leaving, lent) in SECTIONS.items():
+        for partition, names in record.get(section, {}).items():
             for machine in names.split():
-                bucket.holdings[machine] = Holding(partition, leaving)
+                bucket.holdings[machine] = Holding(partition, leaving, lent)
     return bucket
 
 
--- a/appledock/capacity/settings.py
+++ b/appledock/capacity/settings.py
@@ -65,6 +65,12 @@
     partitions: Annotated[list[Partition], Meta(min_length=1, max_length=16)]
     assign_every_s: Seconds = 1.0
     """pause between two passes over who holds which machine"""
+    lend: bool = False
+    """may machines that a partition does not need be used by others meanwhile?"""
+    lend_after_s: Seconds = 15.0
+    """time for which a machine must have been spare before it is lent"""
+    give_back_s: Seconds = 30.0
+    """time after which tasks that save are stopped on machines that their lender needs"""
     moves_in_flight: Annotated[int, Meta(ge=0, le=1000)] = 2
     """replicas that are moved off machines to be handed over, at a time"""
 
--- a/appledock/cli_capacity.py
+++ b/appledock/cli_capacity.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import importlib
+import itertools
 import json
+import time
 import uuid
+from pathlib import Path
 from typing import Any
 
 import click
+import msgspec
 
 from appledock.capacity.settings import schema
 from appledock.cli_requests import API, FAILED, JSON, USAGE, ask, fail, show, table
@@ -126,3 +131,50 @@
     """Take the last change back, from wherever it has got to."""
     body = {"request": request or uuid.uuid4().hex, "version": version}
     show_state(ask(api, "POST", "capacity/withdraw", body), as_json)
+
+
+@capacity.command()
+@API
+@click.option("--every", default=1.0, show_default=True, help="Seconds between two looks.")
+@click.option("--seconds", type=float, help="How long; until it is interrupted without it.")
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+def history(api: str, every: float, seconds: float | None, file: Path) -> None:
+    """Collect use against grant into a compressed file; an existing one is continued."""
+    if every <= 0:
+        fail("--every: a number above 0 is needed", USAGE)
+    archive = history_module()
+    looks = None if seconds is None else max(1, round(seconds / every))
+    with archive.HistoryWriter(file) as writer:
+        try:
+            for look in itertools.count():
+                if look == looks:
+                    return
+                if look:
+                    time.sleep(every)
+                reply = ask(api, "GET", "capacity")
+                if not reply["enabled"]:
+                    fail("capacity shares are off", FAILED)
+                writer.add(archive.rows(reply, round(time.time(), 3)))
+        except KeyboardInterrupt:
+            return
+
+
+@capacity.command("read-history")
+@JSON
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def read_history(as_json: bool, file: Path) -> None:
+    """Print a collected history."""
+    archive = history_module()
+    try:
+        rows = [msgspec.structs.asdict(row) for row in archive.read(file)]
+    except archive.HistoryError as error:
+        fail(str(error), FAILED)
+    show(rows, as_json, rows, list(archive.HistoryRow.__struct_fields__))
+
+
+def history_module() -> Any:
+    """The module of compressed files, whose library controllers do not have."""
+    try:
+        return importlib.import_module("appledock.capacity.history")
+    except ModuleNotFoundError as error:
+        fail(f"histories need requirements-console.txt: {error}", USAGE)
--- a/appledock/core/preemption.py
+++ b/appledock/core/preemption.py
@@ -15,9 +15,7 @@
 from appledock import constants as c
 from appledock import wire
 from appledock.core import placement, quota
-from appledock.core.events import PeerSend
 from appledock.core.jobs import Job
-from appledock.core.messages import StopTasks
 from appledock.core.placement import Room
 
 if TYPE_CHECKING:
@@ -261,8 +259,4 @@
             self._stop(victim, machine)
 
     def _stop(self, victim: Victim, machine: str) -> None:
-        owner = self.e.replica.job_owner(victim.job)
-        if owner == self.e.settings.name:
-            self.e.steps.stop(victim.job.id, machine, {victim.task})
-        else:
-            self.e.emit(PeerSend(StopTasks(victim.job.id, machine, [victim.task]), owner))
+        self.e.steps.ask_to_stop(victim.job, machine, {victim.task})
--- a/appledock/core/shares.py
+++ b/appledock/core/shares.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -25,13 +26,16 @@
 from appledock.capacity.apportion import apportion
 from appledock.capacity.assignment import MachineUse, next_holdings
 from appledock.capacity.holdings import Bucket, Holding, bucket_of
-from appledock.capacity.settings import Capacity, Shares
+from appledock.capacity.lending import Lenders, lent
+from appledock.capacity.settings import Capacity, Pool, Shares
 from appledock.core.budget import Priority
 from appledock.core.capacity_records import HOLDINGS
 from appledock.core.events import Put, StoreReply, TxnPlan
+from appledock.core.fleet.demand import queued_demand
 from appledock.core.jobs import Attempt, Job
 from appledock.core.rooms import Entry
 from appledock.core.workers import Worker
+from appledock.rebalancing.picture import task_share
 from appledock.rebalancing.planner import Proposal
 
 if TYPE_CHECKING:
@@ -68,6 +72,10 @@
         """when jobs were last looked at for one to be handed to its partition's controller"""
         self.at_rest: tuple[int, ...] = ()
         """what the last pass was about, if it found nothing to change"""
+        self._lenders: dict[str, Lenders] = {}
+        """pool -> who has spare machines there, and since when"""
+        self._returning: dict[str, float] = {}
+        """machine that is given back to its lender -> since when"""
         self._partitions: dict[tuple[str, str], str | None] = {}
         self._gates: dict[str | None, Gate] = {}
 
@@ -192,6 +200,7 @@
         self._stop_savers()
         if engine.membership.leader() and not self.writing:
             self._assign()
+            self._stop_borrowers()
             self._move_replicas(settings.moves_in_flight)
 
     def _note_members(self) -> None:
@@ -263,18 +272,89 @@
             return
         picture = self._picture()
         unheard = any(worker.report is None for worker in self.engine.workers.table.values())
-        if picture == self.at_rest and not unheard and not self._any_leaving():
+        quiet = picture == self.at_rest and not unheard and not self.settings.lend
+        if quiet and not self._any_leaving():
             return
-        shares = self.targets()
         changes: dict[str, Holding | None] = {}
         for pool in self.settings.pools:
-            by_partition = {name: shares[name].get(pool.name, 0.0) for name in shares}
-            changes.update(next_holdings(self.uses(pool.name), by_partition))
+            uses = self.uses(pool.name)
+            own = self.agreed_machines(pool.name, len(uses))
+            wanted = self._with_loans(pool, uses, own)
+            changes.update(next_holdings(uses, wanted, own))
         changes.update(dict.fromkeys(self._vanished()))
         self.at_rest = () if changes else picture
         if changes:
             self._write(changes)
 
+    def agreed_machines(self, pool: str, machines: int) -> dict[str, int]:
+        """How many machines of a pool each partition shall have by what is agreed."""
+        shares = self.targets()
+        return apportion(machines, {name: shares[name].get(pool, 0.0) for name in shares})
+
+    # --- loans ------------------------------------------------------------
+    def _with_loans(
+        self, pool: Pool, uses: list[MachineUse], own: dict[str, int]
+    ) -> dict[str, int]:
+        """The same with what is spare lent to those that need more, if the file allows it."""
+        assert self.settings is not None
+        if not self.settings.lend:
+            return own
+        need = self._need(pool, uses)
+        lenders = self._lenders.setdefault(pool.name, Lenders(self.settings.lend_after_s))
+        return lent(own, need, lenders.ready(self.engine.now, own, need))
+
+    def _need(self, pool: Pool, uses: list[MachineUse]) -> dict[str, int]:
+        """Machines that each partition could use: those at work, and some for its queue."""
+        engine = self.engine
+        types = {
+            worker.report.type: engine.types[worker.report.type]
+            for use in uses
+            if (worker := engine.workers.table[use.name]).report is not None
+            and worker.report.type in engine.types
+        }
+        queued: dict[str, float] = {}
+        for demand in queued_demand(engine):
+            spec = demand.job.spec
+            name = self.partition_of(spec)
+            if demand.ready and name is not None and _may_use(spec, pool):
+                most = max((_fits_on(spec, kind) for kind in types.values()), default=0)
+                if most:
+                    queued[name] = queued.get(name, 0.0) + demand.tasks / most
+        working = Counter(name for use in uses for name in use.tasks)
+        return {
+            name: working[name] + math.ceil(queued.get(name, 0.0) - c.EPSILON)
+            for name in self.targets()
+        }
+
+    def _stop_borrowers(self) -> None:
+        """Tasks that save go on elsewhere when their lender has waited for its machine."""
+        engine = self.engine
+        assert self.settings is not None
+        buckets = engine.replica.capacity.buckets.values()
+        returning = {
+            machine
+            for bucket in buckets
+            for machine, holding in bucket.holdings.items()
+            if holding.leaving and holding.lent
+        }
+        self._returning = {
+            machine: self._returning.get(machine, engine.now) for machine in returning
+        }
+        for machine, since in self._returning.items():
+            if engine.now - since >= self.settings.give_back_s:
+                for job_id, tasks in self._savers(machine).items():
+                    engine.steps.ask_to_stop(engine.replica.jobs[job_id], machine, tasks)
+
+    def _savers(self, machine: str) -> dict[str, set[int]]:
+        """Job -> its tasks on the machine that save, and that nobody has told to stop."""
+        result = {}
+        for job_id, attempts in self.engine.replica.by_machine.get(machine, {}).items():
+            spec = self.engine.replica.jobs[job_id].spec
+            tasks = {task for x in attempts if not x.stopping for task in x.tasks}
+            if tasks and spec.checkpoint_s > 0 and not spec.gang:
+                result[job_id] = tasks
+        return result
+
     def _vanished(self) -> list[str]:
         """Machines in the records that no longer exist."""
         engine = self.engine
@@ -408,11 +488,8 @@
             for machine, holding in bucket.holdings.items():
                 if not holding.leaving:
                     continue
-                for job_id, attempts in engine.replica.by_machine.get(machine, {}).items():
-                    job = engine.replica.jobs[job_id]
-                    tasks = {t for x in attempts if not x.stopping for t in x.tasks}
-                    saves = job.spec.checkpoint_s > 0 and not job.spec.gang
-                    if tasks and saves and engine.owns_job(job):
+                for job_id, tasks in self._savers(machine).items():
+                    if engine.owns_job(engine.replica.jobs[job_id]):
                         engine.steps.stop(job_id, machine, tasks)
 
     # --- operators --------------------------------------------------------
@@ -434,13 +511,14 @@
     def _pool(self, pool: str) -> dict[str, Any]:
         uses = self.uses(pool)
         shares = self.targets()
-        target = apportion(len(uses), {name: shares[name].get(pool, 0.0) for name in shares})
+        target = self.agreed_machines(pool, len(uses))
         rows = {}
         for name in shares:
             held = [u for u in uses if u.holding is not None and u.holding.partition == name]
             rows[name] = {
                 "target": target[name],
                 "held": sum(not u.holding.leaving for u in held if u.holding is not None),
+                "lent": sum(u.holding.lent for u in held if u.holding is not None),
                 "leaving": [
                     {"machine": u.name, "tasks": sum(u.tasks.values()), "left_s": round(u.cost, 1)}
                     for u in held
@@ -456,6 +534,21 @@
         }
 
 
+def _fits_on(spec: wire.JobSpec, machine_type: wire.MachineType) -> int:
+    """How many tasks of the job an empty machine takes."""
+    share = task_share(spec, machine_type)
+    return int((1 + c.EPSILON) / share) if share > 0 else 1
+
+
+def _may_use(spec: wire.JobSpec, pool: Pool) -> bool:
+    """Could a task of the job run in the pool?"""
+    return (
+        (spec.zone is None or not pool.zones or spec.zone in pool.zones)
+        and (spec.types is None or not pool.types or bool(set(spec.types) & set(pool.types)))
+        and (spec.spot or pool.spot is not True)
+    )
+
+
 def _apply(bucket: Bucket, machine: str, holding: Holding | None) -> None:
     if holding is None:
         bucket.holdings.pop(machine, None)
--- a/appledock/core/steps.py
+++ b/appledock/core/steps.py
@@ -9,9 +9,11 @@
 from appledock import wire
 from appledock.core import placement
 from appledock.core.budget import Priority
+from appledock.core.events import PeerSend
 from appledock.core.handoff import HandOff
 from appledock.core.job_writer import JobWriter
 from appledock.core.jobs import Attempt, Job
+from appledock.core.messages import StopTasks
 from appledock.core.pacing import Pacing
 from appledock.core.placement import Room, Sampling
 from appledock.core.preemption import Preemption
@@ -149,6 +151,14 @@
         self.writer.withdraw(job_id)
         self.dirty.add(job_id)
 
+    def ask_to_stop(self, job: Job, machine: str, tasks: set[int]) -> None:
+        """Stop tasks of anybody's job: its owner does it."""
+        if self.e.owns_job(job):
+            self.stop(job.id, machine, tasks)
+        else:
+            owner = self.e.replica.job_owner(job)
+            self.e.emit(PeerSend(StopTasks(job.id, machine, sorted(tasks)), owner))
+
     def _apply_stops(self, job: Job) -> bool:
         """Mark what is to be stopped in this copy of the record."""
         changed = False
--- a/tests/loopback/shares.py
+++ b/tests/loopback/shares.py
@@ -16,6 +16,8 @@
 
 import click
 
+from appledock.capacity.history import HistoryWriter, read, rows
+from appledock.capacity.holdings import SECTIONS
 from tests.loopback.__main__ import Run
 from tests.loopback.cluster import LoopbackCluster
 
@@ -71,11 +73,11 @@
         held: dict[str, int] = {}
         for key, (record, _, _) in self.cluster.state.rows.items():
             if "/capacity/held/" in key:
-                for part in ("held", "leaving"):
-                    for partition, names in record[part].items():
+                for section, (leaving, _) in SECTIONS.items():
+                    for partition, names in record.get(section, {}).items():
                         for machine in names.split():
                             holders[machine] = partition
-                            held[partition] = held.get(partition, 0) + (part == "held")
+                            held[partition] = held.get(partition, 0) + (not leaving)
         return holders, held
 
     async def watch(self) -> None:
@@ -109,6 +111,17 @@
         ):
             change.reached_s = round(self.run.now() - change.at, 1)
 
+    async def collect(self, path: Path) -> None:
+        """What operators' side would collect of the same run, through any controller."""
+        with HistoryWriter(path) as writer:
+            while True:
+                await asyncio.sleep(1.0)
+                for name in self.cluster.names:
+                    summary = await self.cluster.admin(name, "capacity")
+                    if summary:
+                        writer.add(rows(summary, round(self.run.now(), 3)))
+                        break
+
     async def drive(self, seconds: float) -> None:
         """Arrays of both partitions that end by themselves, and some services."""
         rng = self.cluster.clock.rng
@@ -200,12 +213,21 @@
         await cluster.admin("n0", "settings", {"settings": {"idle_return_s": 3600}})
         shares = Shares(cluster, run)
         await asyncio.sleep(15.0)  # until shares are in force
-        for work in (shares.watch(), shares.drive(seconds), shares.operate()):
+        archive = folder / "history.zst"
+        archive.unlink(missing_ok=True)
+        works = (shares.watch(), shares.drive(seconds), shares.operate(), shares.collect(archive))
+        for work in works:
             cluster.spawn(work)
         if faults:
             cluster.spawn(shares.strike(seconds))
         await asyncio.sleep(seconds)
         figures = shares.figures()
+    told = list(read(archive))
+    figures["told"] = {
+        "rows": len(told),
+        "bytes": archive.stat().st_size,
+        "beyond_machines": sum(row.held + row.leaving > WORKERS for row in told),
+    }
     result = {"seed": seed, "faults_played": faults, "seconds": seconds, **figures}
     (folder / "figures.json").write_text(json.dumps(result, indent=1))
     return result
--- a/tests/standins/sharing.py
+++ b/tests/standins/sharing.py
@@ -131,8 +131,9 @@
         counts: dict[str, int] = {}
         for key, (record, _, _) in self.state.rows.items():
             if "/capacity/held/" in key:
-                for partition, names in record["held"].items():
-                    counts[partition] = counts.get(partition, 0) + len(names.split())
+                for section in ("held", "lent"):
+                    for partition, names in record.get(section, {}).items():
+                        counts[partition] = counts.get(partition, 0) + len(names.split())
         return counts
 
     def in_force(self) -> bool:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -11,6 +11,7 @@
 import random
 import tomllib
 from pathlib import Path
+from typing import Any
 
 import jsonschema
 import pytest
@@ -21,7 +22,9 @@
 from appledock import constants as c
 from appledock.capacity.apportion import apportion
 from appledock.capacity.assignment import MachineUse, next_holdings
+from appledock.capacity.history import HistoryError, HistoryRow, HistoryWriter, read, rows
 from appledock.capacity.holdings import Bucket, Holding, bucket_of, decode
+from appledock.capacity.lending import Lenders, lent
 from appledock.capacity.settings import Capacity, CapacityError, Partition, Pool, parse
 from appledock.cli import main
 from tests.standins.deployment import settings as deployed
@@ -152,10 +155,44 @@
 def test_pools_of_nobody_and_of_nothing() -> None:
     assert apportion(5, {"a": 0.0}) == {"a": 0}
     assert apportion(0, {"a": 1.0}) == {"a": 0}
-    assert next_holdings([], {"a": 1.0}) == {}
+    assert next_holdings([], {"a": 0}) == {}
     assert next_holdings([MachineUse("m", None)], {}) == {}
 
 
+def by_shares(uses: list[MachineUse], shares: dict[str, float]) -> dict[str, Holding]:
+    return next_holdings(uses, apportion(len(uses), shares))
+
+
+needs = st.dictionaries(st.sampled_from("abc"), st.integers(0, 12))
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(target=st.fixed_dictionaries({n: st.integers(0, 8) for n in "abc"}), need=needs)
+def test_loans_are_made_of_what_is_spare_and_of_nothing_else(
+    target: dict[str, int], need: dict[str, int]
+) -> None:
+    result = lent(target, need, {"a", "b"})
+    assert sum(result.values()) == sum(target.values())
+    for name, machines in target.items():
+        wanted = need.get(name, 0)
+        assert result[name] >= min(machines, max(1, wanted)), "a lender in need comes first"
+        assert result[name] <= max(machines, wanted), "nobody borrows what it does not need"
+    assert result["c"] >= target["c"], "it is not ready to lend"
+    spare = any(result[n] > max(1, need.get(n, 0)) and result[n] <= target[n] for n in "ab")
+    lacks = any(result[n] < need.get(n, 0) for n in "abc")
+    assert not (spare and lacks)
+
+
+def test_only_what_was_spare_for_a_while_is_lent() -> None:
+    lenders = Lenders(15.0)
+    target = {"a": 4, "b": 4}
+    assert lenders.ready(0.0, target, {"a": 1, "b": 9}) == set()
+    assert lenders.ready(10.0, target, {"a": 4, "b": 9}) == set()
+    assert lenders.ready(14.0, target, {"a": 1, "b": 9}) == set(), "busy again meanwhile"
+    assert lenders.ready(28.0, target, {"a": 1, "b": 9}) == set()
+    assert lenders.ready(30.0, target, {"a": 1, "b": 9}) == {"a"}
+
+
 # --- drawn histories ---------------------------------------------------------
 class Model:
     """Machines, tasks that start where the records allow it, and a leader that looks now and
@@ -196,7 +233,7 @@
             MachineUse(name, holding, {p: self.tasks[name].count(p) for p in self.tasks[name]})
             for name, holding in self.machines.items()
         ]
-        for name, new in next_holdings(uses, self.shares).items():
+        for name, new in by_shares(uses, self.shares).items():
             old = self.machines[name]
             if old is not None and old.partition != new.partition:
                 assert old.leaving and not self.tasks[name], "left and empty before it changes"
@@ -264,11 +301,11 @@
     mixed = MachineUse("m0", None, {"a": 1, "b": 2})
     pure = MachineUse("m1", None, {"a": 3})
     strange = MachineUse("m2", None, {"": 3})
-    found = next_holdings([mixed, pure, strange], {"a": 0.5, "b": 0.5})
+    found = by_shares([mixed, pure, strange], {"a": 0.5, "b": 0.5})
     assert found["m1"] == Holding("a")
     assert found["m0"].leaving and found["m2"].leaving
     old = MachineUse("m3", Holding("dropped"))
-    assert next_holdings([old], {"a": 1.0})["m3"].leaving
+    assert by_shares([old], {"a": 1.0})["m3"].leaving
 
 
 def test_idle_machines_change_hands_before_those_at_work() -> None:
@@ -278,7 +315,7 @@
         MachineUse("m2", Holding("a")),
         MachineUse("m3", Holding("a"), {"a": 4}, cost=90.0),
     ]
-    assert next_holdings(uses, {"a": 0.5, "b": 0.5}) == {
+    assert by_shares(uses, {"a": 0.5, "b": 0.5}) == {
         "m2": Holding("a", leaving=True),
         "m1": Holding("a", leaving=True),
     }
@@ -290,7 +327,7 @@
     buckets: dict[int, Bucket] = {}
     for place, name in enumerate(names):
         bucket = buckets.setdefault(bucket_of(name), Bucket(7))
-        bucket.holdings[name] = Holding("ab"[place % 2], leaving=place % 5 == 0)
+        bucket.holdings[name] = Holding("ab"[place % 2], place % 5 == 0, place % 7 == 0)
     assert len(buckets) == c.CAPACITY_BUCKETS
     for bucket in buckets.values():
         record = bucket.encode()
@@ -310,3 +347,41 @@
     jsonschema.Draft202012Validator(json.loads(result.stdout)).validate(
         tomllib.loads(deploy.read_text())
     )
+
+
+# --- histories ---------------------------------------------------------------
+def summary(held: int) -> dict[str, Any]:
+    row = {"target": 3, "held": held, "lent": 1, "leaving": [{"machine": "m"}], "tasks": 7}
+    return {"version": 9, "pools": {"all": {"partitions": {"a": row}}}}
+
+
+def test_histories_are_compressed_continued_and_read_back(tmp_path: Path) -> None:
+    path = tmp_path / "history.zst"
+    for first in (0, 1000):
+        with HistoryWriter(path) as writer:
+            for at in range(first, first + 1000):
+                writer.add(rows(summary(at % 5), float(at)))
+    told = list(read(path))
+    assert [row.at for row in told] == [float(at) for at in range(2000)]
+    assert told[7] == HistoryRow(7.0, 9, "all", "a", 3, 2, 1, 1, 7)
+    assert path.stat().st_size < 20_000
+    shown = CliRunner().invoke(main, ["capacity", "read-history", "--json", str(path)])
+    assert len(json.loads(shown.stdout)) == 2000
+
+
+def test_a_history_that_ends_early_is_read_up_to_there_and_another_file_is_refused(
+    tmp_path: Path,
+) -> None:
+    path = tmp_path / "history.zst"
+    with HistoryWriter(path) as writer:
+        for at in range(1000):
+            writer.add(rows(summary(1), float(at)))
+    path.write_bytes(path.read_bytes()[:-40])
+    told = []
+    with pytest.raises(HistoryError, match="its last block ends early"):
+        for row in read(path):
+            told.append(row)
+    assert len(told) >= 700
+    path.write_text("no history")
+    result = CliRunner().invoke(main, ["capacity", "read-history", str(path)])
+    assert result.exit_code == 1 and result.stderr.count("\n") == 1
--- a/tests/test_shared_cluster.py
+++ b/tests/test_shared_cluster.py
@@ -303,6 +303,46 @@
     assert world.holders() == {"sealing": 6, "front": 6}
 
 
+# --- loans -------------------------------------------------------------------
+def lending(seed: int, **changes: Any) -> Shared:
+    """Sealing is idle and the front end has more to do than its machines take."""
+    rules = shares(lend=True, lend_after_s=5.0, give_back_s=10.0)
+    world = Shared(seed, rules)
+    world.clock.run(IN_FORCE_S)
+    world.array(1, "blue", tasks=18, memory_gb=7.8, **changes)
+    world.clock.run(CHANGE_S)
+    return world
+
+
+def test_idle_machines_are_lent_and_given_back_by_drains() -> None:
+    world = lending(30, run_s=40.0)
+    assert len(world.used["front"]) == 9 and world.holders()["front"] >= 9
+    starts = world.judge.starts
+    world.array(2, "red", run_s=20.0, tasks=6, memory_gb=15.0)
+    world.clock.run(CHANGE_S + 6.0)
+    assert world.judge.starts > starts, "what was left of its machines is there at once"
+    assert world.holders()["sealing"] + 3 >= 6 and world.unfinished()
+    world.clock.run(CHANGE_S + 60.0)
+    assert world.unfinished() == [] and world.mixed == [] and world.judge.broken == []
+    assert world.judge.starts == 18 + 6, "nothing was stopped for it"
+
+
+def test_a_lender_in_need_has_its_machines_back_in_the_stated_time_where_work_saves() -> None:
+    world = lending(31, run_s=300.0, saves=True)
+    assert world.holders()["front"] >= 9
+    world.array(2, "red", run_s=100.0, tasks=6, memory_gb=15.0)
+    world.clock.run(CHANGE_S + 30.0)
+    assert len(world.used["sealing"]) == 6 and world.holders() == {"sealing": 6, "front": 6}
+    assert world.mixed == [] and world.judge.broken == []
+
+
+def test_nothing_is_lent_unless_the_file_allows_it() -> None:
+    world = started(32)
+    world.array(1, "blue", run_s=40.0, tasks=18, memory_gb=7.8)
+    world.clock.run(CHANGE_S)
+    assert world.holders() == {"sealing": 6, "front": 6} and len(world.used["front"]) == 6
+
+
 # --- preferred controllers ---------------------------------------------------
 def owners(world: Shared, team: str) -> set[str]:
     engine = world.nodes[world.leader()].engine
