--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from pathlib import Path
 
 from tests.loopback.__main__ import FEW, RULES, Run
@@ -40,15 +41,17 @@
         await until(even)
         assert cluster.judge.broken == []
         assert cluster.controllers["n1"].starts == 2
+        # As the workers have it: what moves were planned by a controller that ended since is
+        # not told by any. From four tasks on three machines to three at most on any.
+        assert cluster.stops >= 3
         cluster.freeze("n2", 0.5)
         states = [await cluster.admin(name, "rebalancing") for name in ("n0", "n1")]
-        assert any(state["outcomes"].get("done") for state in states if state)
+        assert all(state is not None and len(state["workers"]) == 6 for state in states)
     return cluster
 
 
-async def until(reached: object) -> None:
+async def until(reached: Callable[[], bool]) -> None:
     """Poll until it is so."""
-    assert callable(reached)
     for _ in range(POLLS):
         if reached():
             return
