Capacity shares: room kept for replicas of machines that change hands; tests

A write of more holders than the state service takes in a second is halved until it is taken (found by a test of scarce writes). Tests: gangs, balance, a partition without machines, the applying controller's end, scarce writes.

--- a/appledock/core/shares.py
+++ b/appledock/core/shares.py
@@ -51,10 +51,16 @@
     shares: CapacityShares
     partition: str | None
     """None: nobody's, at present"""
+    replicas_only: bool = False
+    """room is kept there for replicas of machines that change hands"""
 
     def admits(self, spec: wire.JobSpec) -> bool:
         """May a step of the job use the machine?"""
-        return self.partition is not None and self.shares.partition_of(spec) == self.partition
+        return (
+            self.partition is not None
+            and self.shares.partition_of(spec) == self.partition
+            and (spec.service or not self.replicas_only)
+        )
 
 
 class CapacityShares:
@@ -66,6 +72,8 @@
         self.enabled = settings is not None
         self.next_pass = 0.0
         self.writing = False
+        self.most_writes = engine.settings.cluster.state.txn_ops
+        """records that one transaction changes; fewer where it was refused"""
         self.seen: dict[str, tuple[str, float]] = {}
         """member -> its incarnation, and since when it is in the view"""
         self.handed = 0.0
@@ -77,7 +85,10 @@
         self._returning: dict[str, float] = {}
         """machine that is given back to its lender -> since when"""
         self._partitions: dict[tuple[str, str], str | None] = {}
-        self._gates: dict[str | None, Gate] = {}
+        self._gates: dict[tuple[str | None, bool], Gate] = {}
+        self.kept: dict[str, str] = {}
+        """partition whose machines change hands with replicas on them -> its machine on which
+        room is kept for those"""
 
     # --- whose is what ----------------------------------------------------
     def partition_of(self, spec: wire.JobSpec) -> str | None:
@@ -112,9 +123,10 @@
             return None
         holding = self.engine.replica.capacity.holding(worker.id)
         partition = holding.partition if holding is not None and not holding.leaving else None
-        gate = self._gates.get(partition)
+        key = (partition, worker.id in self.kept.values())
+        gate = self._gates.get(key)
         if gate is None:
-            gate = self._gates[partition] = Gate(self, partition)
+            gate = self._gates[key] = Gate(self, *key)
         return gate
 
     def conditions(self, reserved: Iterable[Entry]) -> dict[str, int]:
@@ -198,6 +210,7 @@
                 engine.membership.want_term = True
             return
         self._stop_savers()
+        self._keep_room()
         if engine.membership.leader() and not self.writing:
             self._assign()
             self._stop_borrowers()
@@ -377,7 +390,7 @@
         plan = TxnPlan(engine.membership.conditions())
         written: dict[int, Bucket] = {}
         for number in sorted({bucket_of(machine) for machine in changes}):
-            if len(plan.writes) >= engine.settings.cluster.state.txn_ops:
+            if len(plan.writes) >= min(engine.settings.cluster.state.txn_ops, self.most_writes):
                 break
             bucket = engine.replica.capacity.bucket(number)
             new = Bucket(bucket.version, dict(bucket.holdings))
@@ -401,6 +414,12 @@
         def done(reply: StoreReply) -> None:
             self.writing = False
             keys = [write.key for write in plan.writes]
+            # Guards against a transaction that can never be taken: one with more writes than
+            # the state service allows in a second, if it allows fewer than it announced.
+            if reply.outcome == "refused":
+                self.most_writes = max(1, len(keys) // 2)
+            elif reply.outcome == "ok":
+                self.most_writes += 1
             if reply.outcome == "ok":
                 for write in plan.writes:
                     assert isinstance(write, Put)
@@ -424,6 +443,56 @@
         """
         return spec.service and not spec.gang and self.leaving(machine)
 
+    def _keep_room(self) -> None:
+        """Keep a machine of each partition whose replicas have to move for replicas alone.
+
+        Guards against changes that are never over: the partition's arrays took whatever became
+        free on its other machines, and the replicas stayed where they were.
+        """
+        before = dict(self.kept)
+        holders = {
+            machine: holding
+            for bucket in self.engine.replica.capacity.buckets.values()
+            for machine, holding in bucket.holdings.items()
+        }
+        moving = {x.partition for m, x in holders.items() if x.leaving and self._replicas_on(m)}
+        self.kept = {
+            partition: machine
+            for partition in sorted(moving)
+            if (machine := self._kept_for(partition, holders)) is not None
+        }
+        for machine in set(before.values()) ^ set(self.kept.values()):
+            self.engine.rooms.touch(machine)
+
+    def _replicas_on(self, machine: str) -> bool:
+        replica = self.engine.replica
+        return any(
+            replica.jobs[job].spec.service and not replica.withdrawn(job)
+            for job in replica.by_machine.get(machine, {})
+        )
+
+    def _kept_for(self, partition: str, holders: dict[str, Holding]) -> str | None:
+        """The machine of before while replicas may find room there, else that with least to end."""
+        own = [
+            machine
+            for machine, holding in holders.items()
+            if holding.partition == partition
+            and not holding.leaving
+            and self._may_gain_room(machine)
+        ]
+        known = self.kept.get(partition)
+        if known in own:
+            return known
+        by_machine = self.engine.replica.by_machine
+        return min(own, key=lambda m: (len(by_machine.get(m, {})), m), default=None)
+
+    def _may_gain_room(self, machine: str) -> bool:
+        """Is anything free on it, or will be when arrays end?"""
+        replica = self.engine.replica
+        return machine in self.engine.rooms.open or any(
+            not replica.jobs[job].spec.service for job in replica.by_machine.get(machine, {})
+        )
+
     def _move_replicas(self, most: int) -> None:
         """Move replicas off machines that are being handed over, to the holder's other ones."""
         engine = self.engine
--- a/tests/standins/sharing.py
+++ b/tests/standins/sharing.py
@@ -126,6 +126,18 @@
         wanted = {"sealing": {"all": sealing}, "front": {"all": round(1 - sealing, 6)}}
         return self.change(node, "apply", request=request, shares=wanted, **body)
 
+    def insist(self, sealing: float, request: str) -> list[list[tuple[int, Any]]]:
+        """The change, said again at one controller after the other until it is taken."""
+        asked: list[list[tuple[int, Any]]] = []
+
+        def again() -> None:
+            if not (asked and asked[-1] and asked[-1][0][0] == 200):
+                asked.append(self.apply(self.names[len(asked) % 3], sealing, request))
+                self.clock.after(3.0, again)
+
+        again()
+        return asked
+
     def holders(self) -> dict[str, int]:
         """Partition -> machines that it holds and does not leave, as stored."""
         counts: dict[str, int] = {}
--- a/tests/standins/spreading.py
+++ b/tests/standins/spreading.py
@@ -49,8 +49,9 @@
 
 def saving_array(world: World, number: int, tasks: int = 2, **changes: Any) -> dict[str, Any]:
     """Tasks that save their progress when they are stopped."""
-    saves = {"stow_s": 5.0, "lash_s": 1.0, "sail_s": 600.0, "run_s": 90.0, "eta_s": 90.0}
-    return service(world, number, tasks, berth="arr", shape="batch", **{**saves, **changes})
+    array: dict[str, Any] = {"berth": "arr", "shape": "batch", "sail_s": 600.0}
+    saves = {"stow_s": 5.0, "lash_s": 1.0, "run_s": 90.0, "eta_s": 90.0}
+    return service(world, number, tasks, **{**array, **saves, **changes})
 
 
 def crowded(
--- a/tests/test_shared_cluster.py
+++ b/tests/test_shared_cluster.py
@@ -19,6 +19,8 @@
 from appledock.core.membership import Membership
 from appledock.core.shares import CapacityShares
 from tests.standins.sharing import MACHINES, Shared, shares
+from tests.standins.spreading import outcomes
+from tests.standins.spreading import rules as spreading
 
 Patch = pytest.MonkeyPatch
 Trouble = Callable[[Shared, str], None]
@@ -134,15 +136,7 @@
 @pytest.mark.parametrize("after_s", [0.05, 1.2])
 def test_shares_hold_through_a_change_with_troubles(trouble: Trouble, after_s: float) -> None:
     world = busy(1, controllers=after_s > 1)
-    asked: list[list[Any]] = []
-
-    def again(request: str) -> None:
-        """Operators repeat a request until it is answered with good."""
-        if not (asked and asked[-1] and asked[-1][0][0] == 200):
-            asked.append(world.apply(sorted(world.names)[len(asked) % 3], 0.25, request))
-            world.clock.after(3.0, lambda: again(request))
-
-    world.clock.at(CHANGE_S, lambda: again("r1"))
+    world.clock.at(CHANGE_S, lambda: world.insist(0.25, "r1"))
     world.clock.at(CHANGE_S + after_s, lambda: trouble(world, world.leader()))
     world.clock.at(PEACE_S, world.peace)
     world.clock.run(END_S)
@@ -195,6 +189,39 @@
     assert replicas_up(world) and world.mixed == [] and world.judge.broken == []
 
 
+def crowded_change() -> dict[str, int]:
+    """Replicas have to move while arrays of their own partition want every free core."""
+    world = started(18)
+    for number in range(6):
+        world.job(number, "red", tasks=1, cores=2.0, memory_gb=8.5)  # one on each machine
+    world.clock.run(IN_FORCE_S + 4.0)
+    for number in range(10, 16):
+        world.job(number, "red", tasks=1, cores=2.0, memory_gb=7.0)  # and one beside each
+    world.clock.run(IN_FORCE_S + 8.0)
+    for number in range(6):
+        world.cancel(f"job-{number:06d}")
+    for number in range(100):
+        at = IN_FORCE_S + 9.0 + 1.2 * number
+        apart = {0: 17.0, 1: 20.0, 2: 23.0}  # so that cores become free one by one
+        world.clock.at(
+            at, partial(world.array, 100 + number, "red", 20.0, 3, runs=apart, memory_gb=0.5)
+        )
+    world.clock.run(CHANGE_S)
+    assert len(world.used["sealing"]) == 6
+    world.insist(0.25, "r1")
+    world.clock.run(CHANGE_S + 75.0)
+    assert world.mixed == [] and world.judge.broken == [] and replicas_up(world)
+    return world.holders()
+
+
+def test_replicas_find_room_though_arrays_of_their_partition_want_all_of_it(
+    monkeypatch: Patch,
+) -> None:
+    assert crowded_change() == {"sealing": 3, "front": 9}
+    monkeypatch.setattr(CapacityShares, "_keep_room", lambda self: None)
+    assert crowded_change() != {"sealing": 3, "front": 9}
+
+
 def test_tasks_that_save_are_stopped_only_past_a_deadline_that_the_change_names() -> None:
     def left_at(seconds: float, **change: float) -> int:
         world = started(4)
@@ -387,6 +414,92 @@
     assert told["partition/front.all"] == [9, 6, 0, 0, ""]
 
 
+# --- together with other parts ----------------------------------------------
+def test_gangs_start_whole_within_their_share_or_not_at_all() -> None:
+    world = started(40)
+    for number in (1, 2):
+        # Two of them at once do not fit: neither holds half of the machines against the other.
+        world.array(number, "red", 12.0, 6, shape="group", memory_gb=9.0)
+    largest = 0
+
+    def look() -> None:
+        nonlocal largest
+        on = [sum(task.startswith(f"job-00000{n}/") for task in world.judge.on) for n in (1, 2)]
+        assert min(on) == 0 or max(on) <= 6
+        largest = max(largest, *on)
+        world.clock.after(0.1, look)
+
+    look()
+    world.clock.run(80.0)
+    assert largest == 6 and world.unfinished() == []
+    assert world.mixed == [] and world.judge.broken == []
+
+
+def test_a_move_for_balance_never_crosses_a_share() -> None:
+    world = Shared(41, shares())
+    world.rebalancing = spreading(moves={"cooldown_s": 5.0})
+    for node in world.nodes.values():
+        node.crash(0.1)
+    world.clock.run(IN_FORCE_S + 6.0)
+    assert world.in_force()
+    for number in range(8):
+        world.job(number, "red", tasks=2, memory_gb=1.0)
+    world.clock.at(30.0, lambda: [world.cancel(f"job-{n:06d}") for n in (0, 1, 2)])
+    world.clock.at(45.0, lambda: world.apply("n0", 0.75, "r1"))
+    world.clock.run(110.0)
+    assert outcomes(world).get("done", 0) > 0
+    assert world.mixed == [] and world.judge.broken == [] and replicas_up(world)
+
+
+def test_a_partition_without_any_machine_waits_and_holds_up_nobody() -> None:
+    world = started(42)
+    world.apply("n0", 0.0, "none")
+    world.clock.run(CHANGE_S)
+    assert world.holders() == {"front": 12}
+    world.array(1, "red", 5.0, 4)
+    world.array(2, "blue", 5.0, 20)
+    world.clock.run(CHANGE_S + 20.0)
+    assert world.unfinished() == ["job-000001"] and world.used["sealing"] == set()
+    rows = world.nodes["n1"].engine.admin.jobs()
+    assert [row["waits_for"] for row in rows if row["id"] == "job-000001"] != []
+    world.apply("n0", 0.25, "some")
+    world.clock.run(CHANGE_S + 50.0)
+    assert world.unfinished() == [] and world.mixed == [] and world.judge.broken == []
+
+
+@pytest.mark.parametrize("delay", [0.0, 0.002, 0.004, 0.2])
+def test_the_controller_that_applies_a_change_ends_before_amid_and_after_its_write(
+    delay: float,
+) -> None:
+    world = busy(43)
+    world.clock.run(CHANGE_S)
+    world.apply("n0", 0.25, "r1")
+    world.clock.at(CHANGE_S + delay, lambda: world.nodes["n0"].crash(5.0))
+    world.clock.run(CHANGE_S + 10.0)
+    again = world.apply("n1", 0.25, "r1")
+    world.clock.run(CHANGE_S + 60.0)
+    assert again[0][0] == 200 and world.holders() == {"sealing": 3, "front": 9}
+    assert world.mixed == [] and world.judge.broken == [] and replicas_up(world)
+
+
+def test_cancellations_come_first_where_writes_are_so_scarce_that_drains_queue() -> None:
+    world = busy(44)
+    world.clock.run(CHANGE_S)
+    world.state.write_rps = 3.0
+    world.insist(0.25, "r1")
+    for number in (1, 2, 11):
+        world.cancel(f"job-{number:06d}")
+    for number in range(50, 70):
+        world.array(number, "blue", 4.0, 1)
+    world.clock.run(CHANGE_S + 20.0)
+    for number in (1, 2, 11):
+        state, at = world.judge.final[f"job-{number:06d}"]
+        assert state == "withdrawn" and at <= CHANGE_S + 10.0
+    world.clock.run(CHANGE_S + 120.0)
+    assert world.holders() == {"sealing": 3, "front": 9} and world.unfinished() == []
+    assert world.mixed == [] and world.judge.broken == [] and replicas_up(world)
+
+
 # --- who takes part ----------------------------------------------------------
 def test_shares_are_in_force_only_once_every_controller_has_them() -> None:
     """One is started without the file: the others keep to nothing that it does not know."""
