--- a/appledock/core/moves.py
+++ b/appledock/core/moves.py
@@ -231,7 +231,7 @@
             return Outcome.NOT_OURS
         if not self.enabled:
             return Outcome.OFF
-        drains = engine.shares.drains(job.spec, order.source)
+        drains = engine.shares.moves_off(job.spec, order.source)
         if not drains and not engine.rebalancer.movable(job.spec):
             return Outcome.NOT_ALLOWED
         if order.job in self.active or not engine.steps.writer.ready(job):
--- a/tests/test_shared_cluster.py
+++ b/tests/test_shared_cluster.py
@@ -17,6 +17,7 @@
 from appledock.capacity.apportion import apportion
 from appledock.core.capacity_records import CAPACITY
 from appledock.core.membership import Membership
+from appledock.core.share_drains import Drains
 from appledock.core.shares import CapacityShares
 from tests.standins.sharing import MACHINES, Shared, shares
 from tests.standins.spreading import outcomes
@@ -218,7 +219,7 @@
     monkeypatch: Patch,
 ) -> None:
     assert crowded_change() == {"sealing": 3, "front": 9}
-    monkeypatch.setattr(CapacityShares, "_keep_room", lambda self: None)
+    monkeypatch.setattr(Drains, "_keep_room", lambda self: None)
     assert crowded_change() != {"sealing": 3, "front": 9}
 
 
