--- a/appledock/cli_capacity.py
+++ b/appledock/cli_capacity.py
@@ -7,6 +7,7 @@
 import json
 import time
 import uuid
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -166,12 +167,17 @@
     """Print a collected history."""
     archive = history_module()
     try:
-        rows = [msgspec.structs.asdict(row) for row in archive.read(file)]
+        rows = [{**msgspec.structs.asdict(row), "at": moment(row.at)} for row in archive.read(file)]
     except archive.HistoryError as error:
         fail(str(error), FAILED)
     show(rows, as_json, rows, list(archive.HistoryRow.__struct_fields__))
 
 
+def moment(at: float) -> str:
+    """A time of day as people read it."""
+    return datetime.fromtimestamp(at, UTC).isoformat(timespec="milliseconds")
+
+
 def history_module() -> Any:
     """The module of compressed files, whose library controllers do not have."""
     try:
--- a/tests/loopback/__main__.py
+++ b/tests/loopback/__main__.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import json
-import signal
 import statistics
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,6 +17,7 @@
 
 import click
 
+from tests.loopback import interrupt
 from tests.loopback.cluster import LoopbackCluster
 
 TEAMS = {"booking": 48.0, "reload": 24.0}
@@ -265,18 +265,8 @@
     """Run the loopback cluster once and print the figures."""
     label = f"{'off' if off else 'on'}-{'faults' if faults else 'quiet'}-{seed}"
 
-    async def interruptible() -> dict[str, Any]:
-        task = asyncio.create_task(
-            measure(Path(folder) / label, workers, seconds, seed, not off, faults)
-        )
-        for number in (signal.SIGINT, signal.SIGTERM):
-            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
-        return await task
-
-    try:
-        click.echo(json.dumps(asyncio.run(interruptible()), indent=1))
-    except asyncio.CancelledError:
-        raise SystemExit(130) from None
+    work = measure(Path(folder) / label, workers, seconds, seed, not off, faults)
+    click.echo(json.dumps(interrupt.run(work), indent=1))
 
 
 if __name__ == "__main__":
--- a/tests/loopback/shares.py
+++ b/tests/loopback/shares.py
@@ -18,6 +18,7 @@
 
 from appledock.capacity.history import HistoryWriter, read, rows
 from appledock.capacity.holdings import SECTIONS
+from tests.loopback import interrupt
 from tests.loopback.__main__ import Run
 from tests.loopback.cluster import LoopbackCluster
 
@@ -241,7 +242,7 @@
 def main(seconds: float, seed: int, faults: bool, folder: str) -> None:
     """Run the loopback cluster once with capacity shares and print the figures."""
     label = f"shares-{'faults' if faults else 'quiet'}-{seed}"
-    result = asyncio.run(measure(Path(folder) / label, seconds, seed, faults))
+    result = interrupt.run(measure(Path(folder) / label, seconds, seed, faults))
     click.echo(json.dumps(result, indent=1))
 
 
--- a/tests/standins/sockets.py
+++ b/tests/standins/sockets.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 import socket
 import threading
 import time
@@ -41,21 +40,22 @@
         self.loop.call_at(at, action)
 
 
-PORTS = range(20_000, 32_000)
-"""below those that the system gives to outgoing connections: one of these, found free, was
-taken by another cluster's connection before its controller listened on it"""
+_reserved: list[socket.socket] = []
+"""bound and not listening, as long as this process lives"""
 
 
 def free_port() -> int:
-    """A port on which nobody listens."""
-    for port in random.sample(PORTS, 100):
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise OSError("no free port")
+    """A port on which nobody listens, and that no other socket is given meanwhile.
+
+    Guards against controllers that could not listen: found free and let go, a port was taken
+    before they did. A socket that is bound keeps it; since both allow it to be bound again, a
+    controller can listen all the same.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(("127.0.0.1", 0))
+    _reserved.append(reserved)
+    return int(reserved.getsockname()[1])
 
 
 class Cluster:
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -6,12 +6,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
+import socket
+import subprocess
+import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 
+import pytest
+
 from tests.loopback.__main__ import FEW, RULES, Run
 from tests.loopback.cluster import LoopbackCluster
+from tests.loopback.controller import ROOT
 
 POLLS, POLL_S = 600, 0.25
 """looks at most, and the pause between two: a bound for a machine that is very busy"""
@@ -67,3 +75,21 @@
     assert not list(tmp_path.glob("*.log")) or all(
         "Traceback" not in log.read_text() for log in tmp_path.glob("*.log")
     )
+
+
+def test_an_interrupted_measurement_ends_all_that_it_started(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "tests.loopback", "--workers", "6", "--folder", str(tmp_path)]
+    measurement = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL)
+    logs = tmp_path / "on-quiet-1"
+    for _ in range(POLLS):
+        if len(list(logs.glob("n?.log"))) == 3 and all(
+            log.stat().st_size for log in logs.glob("*.log")
+        ):
+            break
+        time.sleep(POLL_S)
+    measurement.send_signal(signal.SIGINT)
+    assert measurement.wait(60) == 130
+    for config in logs.glob("n?.json"):
+        host, _, port = json.loads(config.read_text())["public_addr"].partition(":")
+        with pytest.raises(OSError), socket.create_connection((host, int(port)), 1.0):
+            pass
