--- a/appledock/core/moves.py
+++ b/appledock/core/moves.py
@@ -240,7 +240,28 @@
             return Outcome.COOLING
         if engine.steps.pacing.crowded() or engine.steps.pacing.pressed():
             return Outcome.WRITES
-        return self._refused_by_task(job, order) or self._refused_by_replicas(job)
+        return (
+            self._refused_by_task(job, order)
+            or self._refused_by_replicas(job)
+            or self._refused_by_room(job, order)
+        )
+
+    def _refused_by_room(self, job: Job, order: MoveOrder) -> Outcome | None:
+        """Is the room there by our own picture too, with the steps that we have under way?
+
+        Guards against a task that is stopped for room which a step of ours takes meanwhile, on
+        another controller's machine that we place on as well: it then stopped others' work.
+        """
+        held = self.holds.get(order.job)
+        if held is not None and held.order == order:
+            return None  # the room is ours to keep, and kept
+        self.engine.rooms.refresh()
+        room = self.engine.rooms.table.get(order.destination)
+        if room is None:
+            return Outcome.LOST
+        if not room.fits(job.spec):
+            return Outcome.NO_ROOM
+        return None if placement.allowed_on(job.spec, room) else Outcome.NOT_ALLOWED
 
     def _refused_by_task(self, job: Job, order: MoveOrder) -> Outcome | None:
         attempt = open_attempt(job, order)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -361,6 +361,27 @@
     assert engine.moves._refused_here(fuller) is Outcome.FULLER
 
 
+def test_room_that_a_step_of_the_job_s_owner_takes_is_not_moved_to() -> None:
+    """The destination's owner does not know yet of a step that is being written."""
+    world = crowded(7, rules(moves={"enabled": False}))
+    world.clock.run(40.0)
+    view = world.view()
+    assert view is not None
+    name, record = sorted(world.nodes[view.leader].engine.replica.jobs.items())[0]
+    engine = world.nodes[owner(world, name)].engine
+    attempt, term = record.attempts[0], engine.membership.term
+    destination = next(machine for machine, load in loads(world).items() if load == 0.0)
+    order = MoveOrder(
+        "n9", 1, term, name, min(attempt.tasks), attempt.number, attempt.machine, destination, 0.0
+    )
+    assert engine.moves._refused_by_job(order) is None
+    others = [(destination, record.spec, 4)]
+    engine.rooms.reserve("job-000099", others)
+    assert engine.moves._refused_by_job(order) is Outcome.NO_ROOM
+    engine.moves.on_peer(MoveHeld(order))
+    assert not engine.moves.active and not engine.steps.stops
+
+
 def _fields(order: MoveOrder) -> dict[str, Any]:
     return {name: getattr(order, name) for name in order.__struct_fields__}
 
