--- a/review/lib/http.py
+++ b/review/lib/http.py
@@ -148,7 +148,7 @@
             self.reader, self.writer = await asyncio.wait_for(opening, connect_s)
         assert self.reader is not None
         head = f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n"
-        if method == "POST":
+        if body or method == "POST":
             head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
         self.writer.write(head.encode() + b"\r\n" + body)
         found = await _read_head(self.reader)
