--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 2: a burst of arrays of small tasks on one machine."""
+"""Case 2: the state service closes its connections after each response."""
 
 from __future__ import annotations
 
@@ -16,8 +16,10 @@
 
 SETTINGS: dict[str, Any] = {
     "size": 3,
-    "zones": ["a"],
-    "teams": [{"name": "vision", "cpus": 64.0, "cpus_max": 96.0, "gpus": 0.0, "gpus_max": 0.0}],
+    "zones": ["petrzalka-dc"],
+    "teams": [
+        {"name": "core-pricing", "cpus": 16.0, "cpus_max": 48.0, "gpus": 0.0, "gpus_max": 0.0}
+    ],
     "objectives": [],
     "workers": {
         "report_s": 1.5,
@@ -33,53 +35,39 @@
 }
 TYPES = [
     {
-        "name": "g8",
-        "cores": 96.0,
-        "cards": 8.0,
-        "memory_gb": 768.0,
-        "local_gb": 200.0,
-        "pull_gb_per_s": 1.0,
-        "hourly": 12.0,
-        "market_price": 4.5,
-        "boot_s": 45.0,
-        "quays": ["a"],
+        "name": "tatra-4",
+        "cores": 4.0,
+        "cards": 0.0,
+        "memory_gb": 32.0,
+        "local_gb": 80.0,
+        "pull_gb_per_s": 0.2,
+        "hourly": 0.24,
+        "market_price": 0.11,
+        "boot_s": 25.0,
+        "quays": ["petrzalka-dc"],
     }
 ]
-TASKS = 500
-CORES = 0.06
-RUN_S = 25.0
-BURST = 3
-"""arrays that come at once instead of one (`job_burst`, factor 3)"""
-WATCHED_S = 95.0
+TROUBLE_AT_S = 13.0
+WATCHED_S = 101.0
 
 
 async def play(record: Record, trouble: bool) -> list[str]:
-    async with Cluster(record, SETTINGS, TYPES, {("g8", False): 4}) as cluster:
-        cluster.cloud.logs_tasks = False
-        cluster.cloud.add("g8", "a", 1)
+    began = time.monotonic()
+    async with Cluster(record, SETTINGS, TYPES, {("tatra-4", False): 10}) as cluster:
+        cluster.cloud.add("tatra-4", "petrzalka-dc", 4)
         await cluster.wait_until_healthy()
-        array = {"crates": TASKS, "cores": CORES, "memory_gb": 0.4}
-        specs = [cluster.spec(RUN_S, **array) for _ in range(BURST if trouble else 1)]
-        await asyncio.gather(*(cluster.submit(spec) for spec in specs))
-        end = time.monotonic() + WATCHED_S
-        judge = cluster.judge
-        while time.monotonic() < end and len(judge.told) < len(specs):
-            await asyncio.sleep(1.0)
-            on = {name: len(worker.tasks) for name, worker in cluster.cloud.workers.items()}
-            record(
-                f"tasks known to machines {on}, starts {judge.starts}, completed "
-                f"{ {job: len(tasks) for job, tasks in judge.completed.items()} }, "
-                f"ended with a lease {judge.killed}"
-            )
-        for spec in specs:
-            done, killed = len(judge.completed.get(spec["id"], ())), judge.killed.get(spec["id"], 0)
-            if not done and killed >= TASKS:
-                judge.breaks(
-                    "accepted job never runs",
-                    f"{spec['id']}: none of its {TASKS} tasks of {RUN_S:g} s completed in "
-                    f"{WATCHED_S:g} s, {killed} were started and lost with the worker's lease",
-                )
-        return judge.broken
+        service = {"berth": "quote-api", "shape": "daemon", "rank": "production", "cores": 2.0}
+        quotes = [cluster.spec(1e9, **service, memory_gb=3.2, eta_s=0.0) for _ in range(4)]
+        reloads = [cluster.spec(2.0, cores=1.0) for _ in range(8)]
+        await asyncio.gather(*(cluster.submit(spec) for spec in quotes + reloads))
+        await asyncio.sleep(max(0.0, began + TROUBLE_AT_S - time.monotonic()))
+        if trouble:
+            record("from now on each response of the state service has `Connection: close`")
+            cluster.state.closes = lambda _node, _request: True
+        await asyncio.sleep(WATCHED_S)
+        cluster.judge.check_forgotten()
+        record(f"tasks that ended with their worker's lease: {cluster.judge.killed}")
+        return cluster.judge.broken
 
 
 if __name__ == "__main__":
