--- a/review/1/case.py
+++ b/review/1/case.py
@@ -138,7 +138,7 @@
         for team in SETTINGS["teams"]:
             owner = team["name"]
             before = cluster.spec(1.0, owner=owner)
-            long = cluster.spec(15.0, owner=owner, crates=4, cores=2.0)
+            long = cluster.spec(13.0, owner=owner, crates=4, cores=2.0)
             first = cluster.spec(2.0, owner=owner, crates=8, cores=2.0, tethers=[before["id"]])
             firsts.append(first)
 
@@ -150,7 +150,9 @@
 
             submissions.append(submit())
         await asyncio.gather(*submissions)
-        await asyncio.sleep(4.0)
+        while len(cluster.judge.completed) < TEAMS:
+            await asyncio.sleep(0.1)  # the jobs that others need are not done yet
+        await asyncio.sleep(1.0)
         for team in SETTINGS["teams"]:
             seconds.append(cluster.spec(2.0, owner=team["name"], crates=8, cores=2.0))
         await asyncio.gather(*(cluster.submit(spec) for spec in seconds))
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -41,6 +41,12 @@
         self.hung.set()
         self.node = cloud.rng.randrange(len(cloud.nodes))
         self.refused_reports = 0
+        self.cut_from: set[str] = set()
+        """controllers to and from which the network is interrupted"""
+        self.cut_token = 0
+        """commands under this or a lower token come from behind the cut"""
+        self.answers: dict[tuple[str, int], int] = {}
+        """controller, status (0: none) -> number of reports answered so while cut off"""
         self.loops: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -204,6 +210,8 @@
         if request.path == "/show":
             return Answer(200, self.report())
         body = request.json()
+        if self.cut_from and body.get("warrant", 0) <= self.cut_token:
+            return None
         if "warrant" not in body or "shift" not in body:
             return Answer(400, {"error": "warrant or shift is missing"})
         if body["warrant"] < self.token or body["shift"] != self.session:
@@ -220,7 +228,12 @@
             session, sent = self.session, time.monotonic()
             self.changed.clear()
             body = encode(self.report())
-            status, payload = await connection.request("POST", "/agent/beat", body, 4.0, 2.0)
+            name = self.cloud.nodes[self.node][0]
+            status, payload = 0, b""
+            if name not in self.cut_from:
+                status, payload = await connection.request("POST", "/agent/beat", body, 4.0, 2.0)
+            if self.cut_from:
+                self.answers[name, status] = self.answers.get((name, status), 0) + 1
             await self.hung.wait()
             pause = self.report_s * (0.75 + rng.random() / 2)
             if status == 200:
