--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 from lib.http import request_once  # noqa: E402
 from lib.judge import Record  # noqa: E402
 
-TEAMS = 6
+TEAMS = 8
 LIMIT = 9.0
 """cores of each team at most"""
 SETTINGS: dict[str, Any] = {
@@ -60,7 +60,7 @@
         "quays": ["petrzalka-dc"],
     }
 ]
-MACHINES = 15
+MACHINES = 20
 RESTART_S = 5.0
 """s; "back about 5 s after an end" (BRIEF)"""
 WAIT_S = 90.0
@@ -131,14 +131,15 @@
 
 
 async def play(record: Record, trouble: bool) -> list[str]:
-    async with Cluster(record, SETTINGS, TYPES, {("tatra-4", False): 20}) as cluster:
+    async with Cluster(record, SETTINGS, TYPES, {("tatra-4", False): 24}) as cluster:
         cluster.cloud.add("tatra-4", "petrzalka-dc", MACHINES)
         await cluster.wait_until_healthy()
+        await asyncio.sleep(2.5)  # the controllers hear each other by then
         firsts, seconds, submissions = [], [], []
         for team in SETTINGS["teams"]:
             owner = team["name"]
             before = cluster.spec(1.0, owner=owner)
-            long = cluster.spec(13.0, owner=owner, crates=4, cores=2.0)
+            long = cluster.spec(11.0, owner=owner, crates=4, cores=2.0)
             first = cluster.spec(2.0, owner=owner, crates=8, cores=2.0, tethers=[before["id"]])
             firsts.append(first)
 
