--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -330,12 +330,15 @@
     record = Record(folder / "record.txt")
     record(f"begin, trouble={'on' if trouble else 'off'}")
 
+    # A script that is ended from outside ends its processes too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+
     async def limited() -> list[str]:
         return await asyncio.wait_for(play(record, trouble), most_s)
 
     try:
         broken = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
