Log and metric: a team's limit that is left to another controller's job and not taken

Cause: each controller leaves to the others what their more urgent jobs need of a team's limit. Where two jobs waited for ever, both owners told "team limit", which is also what they tell when the team has all that it may have. Nothing told apart whether the controllers order the queue differently, count an unanswered write, keep an allocation, or have not read a dependency.

Change: `admit_queue` names the jobs of other controllers for which a part of the limit is left, and the own jobs that could make a step without them.

--- a/appledock/core/quota/allocation.py
+++ b/appledock/core/quota/allocation.py
@@ -23,6 +23,7 @@
 
 from appledock import constants
 from appledock.core.quota.admission import Admission, QueuedDemand, admit_queue
+from appledock.core.quota.deferrals import LimitDeferrals, PrecedingJob
 from appledock.core.quota.record_plan import (
     NoRecordChange,
     RecordChange,
@@ -78,6 +79,7 @@
         """team -> version of its record that this controller wrote, based on a current record"""
         self._teams_being_written: set[str] = set()
         self._admissions: dict[str, Admission] = {}
+        self._deferrals = LimitDeferrals()
 
     @property
     def term(self) -> int:
@@ -94,6 +96,7 @@
         """Void the writes in flight, which are conditional on the previous view; clear caches."""
         self._usage.void_writes()
         self._unanswered.clear()
+        self._deferrals.clear()
         self.clear_caches()
 
     def clear_caches(self) -> None:
@@ -152,12 +155,14 @@
             limits = self._runtime.teams.get(team)
             if limits is None or not self.is_record_current(team):
                 return Admission({}, NO_RESOURCES)
+            queue = self._queue(team)
             admission = self._admissions[team] = admit_queue(
                 limit_of(limits),
                 self.allocated(team),
                 self._usage.held_by_node(team),
                 self._runtime.node,
-                self._queue(team),
+                queue,
+                self._next_steps(queue),
             )
         return admission
 
@@ -181,6 +186,46 @@
             for job in jobs
         ]
 
+    def _next_steps(self, queue: list[QueuedDemand]) -> dict[str, Resources]:
+        """Return the least that the next step of each queued job of this controller takes."""
+        specs = {
+            job_id: self._replica.jobs[job_id].spec
+            for job_id, owner, _ in queue
+            if owner == self._runtime.node
+        }
+        return {
+            job_id: demand if specs[job_id].gang else demand_of(specs[job_id], 1)
+            for job_id, _, demand in queue
+            if job_id in specs
+        }
+
+    # --- what is left to other controllers -----------------------------------
+    def on_startable_job_not_admitted(self, job: Job) -> None:
+        """Note which jobs of other controllers keep a job from starting although it has room.
+
+        To be called for a queued job of this controller that may take nothing of its team's limit
+        while a machine has room for one of its tasks.
+        """
+        admission = self._admit(job.spec.team)
+        preceding = admission.preceding[: admission.deferred.get(job.id, 0)]
+        if preceding:
+            self._deferrals.observe(
+                job.spec.team,
+                job.id,
+                self._job_order.sort_key(job),
+                [self._preceding_job(self._replica.jobs[job_id]) for job_id in preceding],
+                self._runtime.now,
+            )
+
+    def _preceding_job(self, job: Job) -> PrecedingJob:
+        return PrecedingJob(
+            job.id, self._replica.job_owner(job), job.last_step, self._job_order.sort_key(job)
+        )
+
+    def longest_deferrals(self) -> dict[str, float]:
+        """Return for how long (s) a part of each team's limit has been left and not taken."""
+        return self._deferrals.longest_by_team(self._runtime.now)
+
     # --- planning ---------------------------------------------------------
     def plan(self, job: Job, new: Job, new_owner: str) -> RecordPlan:
         """Decide whether and how the team's record must change for the step from `job` to `new`.
--- a/appledock/core/scheduling/step_planner.py
+++ b/appledock/core/scheduling/step_planner.py
@@ -181,6 +181,11 @@
             node = self._preemption.preempt_for(job, 1, request.tasks_by_zone, within_team=True)
             if node is not None:
                 return HandedOff(node, PendingReason.TEAM_LIMIT)
+        if any(
+            machine.fits(job.spec) and is_allowed_on(job.spec, machine)
+            for machine in request.machines
+        ):
+            self._quota.on_startable_job_not_admitted(job)
         return Waiting(PendingReason.TEAM_LIMIT)
 
     def _check_gang_settled(self, request: StepRequest) -> StepDecision | None:
