A job is ordered by the submission time that its record keeps, at all controllers

What callers saw: jobs of one team, accepted in the same millisecond by different controllers, stay pending for ever with the limit unused and no controller failing.

Cause: the record rounds `at` to milliseconds. The controller that accepted the job kept the unrounded time in its replica, so it ordered the team's queue differently from those that read the record; two owners left the limit to each other's job.

Change: the time is rounded once, when the job (or its cancellation) is created. Records and messages are as before.

--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -191,6 +191,9 @@
 FINAL_STATE_CACHE_MAX = 50_000
 """entries; limit of the final states cached in memory."""
 
+STORED_WALL_TIME_DIGITS = 3
+"""digits; of a second, in the times of day of stored records."""
+
 # --- Steps ----------------------------------------------------------------
 STEP_TASKS = 100
 """tasks; size of one step of an array."""
--- a/appledock/core/api/job_cancellation.py
+++ b/appledock/core/api/job_cancellation.py
@@ -14,6 +14,7 @@
 from appledock.core.api.pending_requests import NO_SUCH_JOB, STORE_UNAVAILABLE, PendingRequests
 from appledock.core.jobs.codec import JobRecordCodec
 from appledock.core.records.job import Job
+from appledock.core.records.times import stored_wall_time
 from appledock.core.runtime import Runtime
 from appledock.core.store.client import StoreClient
 from appledock.core.store.keys import FINAL_PREFIX, JOBS_PREFIX
@@ -94,7 +95,8 @@
     def _commit(self, request_id: int, job: Job) -> None:
         """Write the cancellation, which also ends the job if none of its attempts is unsettled."""
         cancelled = job.copy()
-        cancelled.cancelled, cancelled.cancelled_wall_time = True, self._runtime.wall_time
+        cancelled.cancelled = True
+        cancelled.cancelled_wall_time = stored_wall_time(self._runtime.wall_time)
         ends_job = not job.attempts
         cancellation = Transaction({JOBS_PREFIX + job.id: job.version})
         if ends_job:
--- a/appledock/core/api/submission.py
+++ b/appledock/core/api/submission.py
@@ -13,6 +13,7 @@
 from appledock.core.jobs.codec import JobRecordCodec
 from appledock.core.jobs.reconcile_queue import ReconcileQueue
 from appledock.core.records.job import HandoffTarget, Job
+from appledock.core.records.times import stored_wall_time
 from appledock.core.runtime import Runtime
 from appledock.core.store.client import StoreClient
 from appledock.core.store.keys import FINAL_PREFIX, JOBS_PREFIX
@@ -130,7 +131,7 @@
 
     def _create(self, request_id: int, spec: wire.JobSpec) -> None:
         """Write the job's record on condition that the job neither exists nor has ended."""
-        job = Job(spec, self._runtime.wall_time)
+        job = Job(spec, stored_wall_time(self._runtime.wall_time))
         job.handoff_target = self._choose_initial_owner(job)
         creation = Transaction(
             {JOBS_PREFIX + spec.id: 0, FINAL_PREFIX + spec.id: 0},
--- a/appledock/core/records/job.py
+++ b/appledock/core/records/job.py
@@ -16,6 +16,7 @@
     unpack_completed,
 )
 from appledock.core.records.intervals import IntervalSet
+from appledock.core.records.times import stored_wall_time
 
 
 @dataclass(slots=True)
@@ -151,12 +152,12 @@
                 for name, value in msgspec.structs.asdict(self.spec).items()
                 if value is not None
             },
-            "at": round(self.submitted_wall_time, 3),
+            "at": stored_wall_time(self.submitted_wall_time),
             "steps": self.last_step,
         }
         record.update(self._encode_tasks_in_groups() if format_ >= 2 else self._encode_tasks())
         if self.cancelled:
-            record["cancelled"] = round(self.cancelled_wall_time, 3) or True
+            record["cancelled"] = stored_wall_time(self.cancelled_wall_time) or True
         if self.handoff_target:
             record["to"] = list(self.handoff_target)
         if self.consecutive_failures:
--- /dev/null
+++ b/tests/test_limit_sharing.py
@@ -0,0 +1,149 @@
+"""Controllers that share a team's limit start its waiting jobs, whatever each one remembers.
+
+The rule is the users': once all controllers are up again, no job waits for 90 s while a machine
+that fits has room and its team is under its limit (`Judge.look`), and every accepted job is done.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from tests.standins import deployment
+from tests.standins.versions import Code
+from tests.standins.world import World
+
+TASK_CORES = 2.0
+LIMIT_HELD_S = 14.0
+"""run time of the tasks that hold a team's whole limit during the restarts"""
+RESTART_S = 5.0
+"""time from a controller's crash to its return"""
+RESTART_INTERVAL_S = 7.0
+"""time between the crashes of two controllers"""
+SETTLED_S = 8.0
+"""time from the last return until all controllers are members and the rule holds"""
+WAIT_LIMIT_S = 90.0
+
+
+def spec(job_id: str, team: str, tasks: int, run_s: float, needs: list[str]) -> dict[str, Any]:
+    """Return the description of an array with tasks of `TASK_CORES`, as users submit it."""
+    return {
+        "id": job_id,
+        "berth": "arr",
+        "owner": team,
+        "shape": "batch",
+        "rank": "standard",
+        "crates": tasks,
+        "cores": TASK_CORES,
+        "cards": 0.0,
+        "memory_gb": 2.0,
+        "cargo": "img-0",
+        "image_gb": 1.0,
+        "hulls": None,
+        "quay": None,
+        "together": False,
+        "scatter": False,
+        "standby": True,
+        "eta_s": run_s,
+        "stow_s": 0.0,
+        "lash_s": 0.0,
+        "sail_s": None,
+        "tethers": needs or None,
+        "run_s": run_s,
+    }
+
+
+@dataclass
+class LimitHistory:
+    """Jobs that wait for their teams' limits while controllers restart.
+
+    In each team one job holds the whole limit; behind it wait jobs that needed another one, which
+    is done, and jobs that were submitted after that. Each of them could take the whole limit.
+    """
+
+    world: World
+    pairs: int
+    """waiting jobs of each of the two kinds in each team"""
+    teams: tuple[str, ...] = ("red", "blue")
+    last_number: int = 0
+    dependents: list[str] = field(default_factory=list)
+    successors: list[str] = field(default_factory=list)
+    """jobs submitted once the prerequisites of `dependents` are done"""
+
+    def limit_tasks(self, team: str) -> int:
+        """Return how many tasks of `TASK_CORES` the team's limit admits."""
+        return int(deployment.TEAMS[team][1] / TASK_CORES)
+
+    def submit(self, team: str, tasks: int, run_s: float, needs: list[str]) -> str:
+        """Submit a job, repeatedly until it is accepted, and return its id."""
+        self.last_number += 1
+        job_id = f"job-{self.last_number:06d}"
+        self.world.submit(spec(job_id, team, tasks, run_s, needs))
+        return job_id
+
+    def start(self) -> None:
+        """Let the limits be taken; submit the jobs with a prerequisite, and the others later."""
+        clock, judge = self.world.clock, self.world.judge
+        prerequisites = {team: self.submit(team, 1, 1.0, []) for team in self.teams}
+        for team in self.teams:
+            self.submit(team, self.limit_tasks(team), LIMIT_HELD_S, [])
+        self._run_until(lambda: all(job in judge.accepted for job in prerequisites.values()))
+        for team in self.teams:
+            for _ in range(self.pairs):
+                needs = [prerequisites[team]]
+                self.dependents.append(self.submit(team, self.limit_tasks(team), 2.0, needs))
+        self._run_until(lambda: all(job in judge.final for job in prerequisites.values()))
+        clock.run(clock.now + 1.0)
+        for team in self.teams:
+            for _ in range(self.pairs):
+                self.successors.append(self.submit(team, self.limit_tasks(team), 2.0, []))
+        waiting = self.dependents + self.successors
+        self._run_until(lambda: all(job in judge.accepted for job in waiting))
+
+    def finish(self) -> None:
+        """Let the rule hold from `SETTLED_S` after now on, until a wait would have broken it."""
+        clock = self.world.clock
+        clock.run(clock.now + SETTLED_S)
+        self.world.peace()
+        clock.run(clock.now + WAIT_LIMIT_S + 10.0)
+
+    def restart_in_turn(self, names: list[str], code: dict[str, Code] | None = None) -> None:
+        """Crash these controllers one after the other; each returns after `RESTART_S`."""
+        clock = self.world.clock
+        for name in names:
+            node = self.world.nodes[name]
+            node.code = (code or {}).get(name, node.code)
+            node.crash(RESTART_S)
+            clock.run(clock.now + RESTART_INTERVAL_S)
+
+    def _run_until(self, is_reached: Any) -> None:
+        """Let time pass until the condition holds."""
+        clock = self.world.clock
+        while not is_reached():
+            assert clock.now < 60.0, "the jobs were not accepted or not done in time"
+            clock.run(clock.now + 0.1)
+
+
+def waiting_history(seed: int, pairs: int, code: Code | None = None) -> LimitHistory:
+    """Return a history up to the moment at which every waiting job is accepted."""
+    world = World(seed, code=code)
+    world.clock.run(6.0)
+    history = LimitHistory(world, pairs)
+    history.start()
+    return history
+
+
+def assert_rules_hold(history: LimitHistory) -> None:
+    """Assert the users' rules: nothing is broken, and every accepted job is done."""
+    assert history.world.judge.broken == []
+    assert history.world.unfinished() == []
+
+
+@pytest.mark.parametrize("seed", [2, 3, 5])
+def test_jobs_submitted_at_one_moment_start_one_after_the_other(seed: int) -> None:
+    """Guards against an order that depends on digits of a time that the record does not keep."""
+    history = waiting_history(seed, pairs=4)
+    history.finish()
+    assert_rules_hold(history)
