A job waits since the recorded end of its dependencies, at every controller

Cause: each controller orders a team's queue for itself and leaves to the others what their more urgent jobs need. For a job with dependencies the order used the moment at which this process first saw them met. After a restart that is the restart, so the restarted owner leaves the limit to the later job, and that job's owner leaves it to the restarted one.

Change: the final record has the time of the end (`at`), stored in the same transaction as before; readiness is the latest of these times. No write more. Earlier versions read the state alone (golden test) and write no time: then the first sight counts as before.

The field is named in test_golden.ADDED.

--- a/appledock/core/api/job_cancellation.py
+++ b/appledock/core/api/job_cancellation.py
@@ -13,6 +13,7 @@
 from appledock.core.api.job_states import JobStates
 from appledock.core.api.pending_requests import NO_SUCH_JOB, STORE_UNAVAILABLE, PendingRequests
 from appledock.core.jobs.codec import JobRecordCodec
+from appledock.core.records.final_record import FinalRecord
 from appledock.core.records.job import Job
 from appledock.core.records.times import stored_wall_time
 from appledock.core.runtime import Runtime
@@ -98,11 +99,12 @@
         cancelled.cancelled = True
         cancelled.cancelled_wall_time = stored_wall_time(self._runtime.wall_time)
         ends_job = not job.attempts
+        final = FinalRecord(wire.CANCELLED, cancelled.cancelled_wall_time)
         cancellation = Transaction({JOBS_PREFIX + job.id: job.version})
         if ends_job:
             cancellation.writes = [
                 Delete(JOBS_PREFIX + job.id),
-                Put(FINAL_PREFIX + job.id, {"state": wire.CANCELLED}),
+                Put(FINAL_PREFIX + job.id, final.encode()),
             ]
         else:
             record = self._codec.encode(self._codec.drop_unoffered_types(cancelled))
@@ -111,7 +113,7 @@
         def on_outcome(outcome: StoreOutcome) -> None:
             match outcome:
                 case Committed():
-                    self._apply(cancelled, outcome.revision, ends_job=ends_job)
+                    self._apply(cancelled, outcome.revision, final if ends_job else None)
                     self._requests.answer(request_id, 200, wire.JobState(job.id, wire.CANCELLED))
                 case Conflict():
                     self._read_and_cancel(request_id, job.id)
@@ -120,12 +122,15 @@
 
         self._client.submit(cancellation, Priority.USER, on_outcome, constants.REQUEST_TIMEOUT_S)
 
-    def _apply(self, job: Job, revision: int, *, ends_job: bool) -> None:
-        """Apply the committed cancellation to the replica and send it to the peers."""
-        if ends_job:
-            self._replica.put(FINAL_PREFIX + job.id, {"state": wire.CANCELLED}, revision)
+    def _apply(self, job: Job, revision: int, final: FinalRecord | None) -> None:
+        """Apply the committed cancellation to the replica and send it to the peers.
+
+        `final` is the job's final record; None if the job stays open until its tasks are over.
+        """
+        if final is not None:
+            self._replica.put(FINAL_PREFIX + job.id, final.encode(), revision)
             self._replica.drop(JOBS_PREFIX + job.id, revision)
         else:
             job.version = revision
             self._replica.set_job(job)
-        self._broadcast(None if ends_job else job, job.id, revision)
+        self._broadcast(job if final is None else None, job.id, revision)
--- a/appledock/core/jobs/cancellation_dissemination.py
+++ b/appledock/core/jobs/cancellation_dissemination.py
@@ -11,6 +11,7 @@
 from appledock.core.effects import PeerSend
 from appledock.core.jobs.codec import JobRecordCodec
 from appledock.core.messages import JobCancelled
+from appledock.core.records.final_record import FinalRecord
 from appledock.core.records.job import Job
 from appledock.core.runtime import Runtime
 from appledock.core.store.keys import FINAL_PREFIX, JOBS_PREFIX
@@ -45,7 +46,8 @@
         if message.record is not None:
             self._replica.put(JOBS_PREFIX + job_id, message.record, version)
         else:
-            self._replica.put(FINAL_PREFIX + job_id, {"state": wire.CANCELLED}, version)
+            final = FinalRecord(wire.CANCELLED)
+            self._replica.put(FINAL_PREFIX + job_id, final.encode(), version)
             self._replica.drop(JOBS_PREFIX + job_id, version)
 
     def _message(self, job_id: str, job: Job | None, revision: int) -> JobCancelled:
--- a/appledock/core/jobs/writer.py
+++ b/appledock/core/jobs/writer.py
@@ -22,8 +22,10 @@
 from appledock.core.machines.machine_capacity import is_allowed_on
 from appledock.core.quota.allocation import PendingWrite, QuotaAllocation
 from appledock.core.quota.record_plan import RecordChange, StepNotPossible
+from appledock.core.records.final_record import FinalRecord
 from appledock.core.records.job import Job
 from appledock.core.records.team_allocation import TeamAllocation
+from appledock.core.records.times import stored_wall_time
 from appledock.core.runtime import Runtime
 from appledock.core.store.client import StoreClient
 from appledock.core.store.keys import FINAL_PREFIX, JOBS_PREFIX, TEAMS_PREFIX
@@ -66,7 +68,7 @@
 class JobEnd:
     """The job has ended: a final record replaces its open record."""
 
-    state: FinalState
+    final: FinalRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,9 +177,12 @@
             self._mark_waiting_for_team_record(job)
             return False
         state = self.final_state(new)
-        change = JobEnd(state) if state is not None else RecordUpdate()
+        change = self._job_end(state) if state is not None else RecordUpdate()
         return self._submit(job, new, change, priority, team_record, reservations or [])
 
+    def _job_end(self, state: FinalState) -> JobEnd:
+        return JobEnd(FinalRecord(state.value, stored_wall_time(self._runtime.wall_time)))
+
     def _mark_waiting_for_team_record(self, job: Job) -> None:
         self._reconcile_queue.pending_reasons[job.id] = PendingReason.TEAM_RECORD_UNDER_WAY
 
@@ -227,10 +232,10 @@
         transaction = Transaction(self._fencing_conditions())
         transaction.conditions[JOBS_PREFIX + job.id] = job.version
         match change:
-            case JobEnd(state):
+            case JobEnd(final):
                 transaction.writes += [
                     Delete(JOBS_PREFIX + job.id),
-                    Put(FINAL_PREFIX + job.id, {"state": state.value}),
+                    Put(FINAL_PREFIX + job.id, final.encode()),
                 ]
             case RecordUpdate():
                 record = self._codec.encode(self._codec.drop_unoffered_types(new))
@@ -266,10 +271,10 @@
         if write.reservations:
             _log_step(write)
         match write.change:
-            case JobEnd(state):
-                self._replica.put(FINAL_PREFIX + job_id, {"state": state.value}, revision)
+            case JobEnd(final):
+                self._replica.put(FINAL_PREFIX + job_id, final.encode(), revision)
                 self._replica.drop(JOBS_PREFIX + job_id, revision)
-                log.info("job ended: job=%s state=%s", job_id, state)
+                log.info("job ended: job=%s state=%s", job_id, final.state)
             case RecordUpdate():
                 write.new.version = revision
                 self._replica.set_job(write.new)
--- a/appledock/core/records/dependencies.py
+++ b/appledock/core/records/dependencies.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from appledock import wire
@@ -39,6 +39,8 @@
         """Job, open or not -> open jobs that directly depend on it."""
         self.outcomes: dict[str, str] = {}
         """Prerequisite that has ended -> `done` or `cancelled`."""
+        self.ended_wall_times: dict[str, float] = {}
+        """Prerequisite that has ended -> time of day of its end, if its final record has one."""
         self.open_jobs: dict[str, Job] = {}
         """Open jobs that have prerequisites or dependents."""
         self.cancelled_jobs: set[str] = set()
@@ -55,9 +57,16 @@
 
     # --- changes ----------------------------------------------------------
     def on_job_recorded(
-        self, job: Job, open_jobs: dict[str, Job], final_states: dict[str, str]
+        self,
+        job: Job,
+        open_jobs: Mapping[str, Job],
+        final_states: Mapping[str, str],
+        ended_wall_times: Mapping[str, float],
     ) -> None:
-        """Add an open job to the graph, or update it after a change of its record."""
+        """Add an open job to the graph, or update it after a change of its record.
+
+        `final_states` and `ended_wall_times` tell how and when jobs have ended, by their ids.
+        """
         is_new = job.id not in self.prerequisites and bool(job.spec.needs)
         if is_new:
             self.prerequisites[job.id] = tuple(job.spec.needs or ())
@@ -70,6 +79,8 @@
         if is_new:
             for prerequisite in self.prerequisites[job.id]:
                 self._add_edge(job.id, prerequisite, open_jobs, final_states)
+                if prerequisite in ended_wall_times:
+                    self.ended_wall_times[prerequisite] = ended_wall_times[prerequisite]
             self._invalidate_inherited(job.id, self.prerequisites[job.id])
             self._update_state(job.id)
 
@@ -77,8 +88,8 @@
         self,
         job_id: str,
         prerequisite: str,
-        open_jobs: dict[str, Job],
-        final_states: dict[str, str],
+        open_jobs: Mapping[str, Job],
+        final_states: Mapping[str, str],
     ) -> None:
         self.dependents.setdefault(prerequisite, set()).add(job_id)
         if prerequisite in final_states:
@@ -110,16 +121,19 @@
             return
         del self.dependents[prerequisite]
         self.outcomes.pop(prerequisite, None)
+        self.ended_wall_times.pop(prerequisite, None)
         self.unknown_outcomes.discard(prerequisite)
         if prerequisite not in self.prerequisites:
             self.open_jobs.pop(prerequisite, None)
             self.cancelled_jobs.discard(prerequisite)
 
-    def on_job_ended(self, job_id: str, state: str) -> None:
+    def on_job_ended(self, job_id: str, state: str, ended_wall_time: float | None = None) -> None:
         """Record the outcome of a job that has ended, either `done` or `cancelled`."""
         if job_id not in self.dependents:
             return
         self.outcomes[job_id] = state
+        if ended_wall_time is not None:
+            self.ended_wall_times[job_id] = ended_wall_time
         self.unknown_outcomes.discard(job_id)
         self._update_dependents(job_id)
 
@@ -170,6 +184,17 @@
             if self.outcomes.get(prerequisite) != wire.DONE
         ]
 
+    def ready_wall_time(self, job_id: str) -> float | None:
+        """Return the time of day (s) at which the last prerequisite of the job ended.
+
+        Every controller reads the same time from the final records. None if the job has no
+        prerequisites, or if the end of one is not known or has no time in its record.
+        """
+        prerequisites = self.prerequisites.get(job_id, ())
+        if not prerequisites or not self.ended_wall_times.keys() >= set(prerequisites):
+            return None
+        return max(self.ended_wall_times[prerequisite] for prerequisite in prerequisites)
+
     def has_unknown_outcome(self, job_id: str) -> bool:
         """Return whether the outcome of a direct or indirect prerequisite is unknown.
 
--- a/appledock/core/scheduling/queue_order.py
+++ b/appledock/core/scheduling/queue_order.py
@@ -61,11 +61,19 @@
         self._quota = quota
         self._objectives = objectives
         self._ready_wall_time: dict[str, float] = {}
-        """job with dependencies -> time of day at which all were first seen to be met"""
+        """job with dependencies -> time of day at which all were met"""
 
     def on_dependencies_met(self, job_id: str) -> None:
-        """Record that all dependencies of the job are met; only the first call counts."""
-        self._ready_wall_time.setdefault(job_id, self._runtime.wall_time)
+        """Record that all dependencies of the job are met; only the first call counts.
+
+        The time is that of the final records, which is the same at every controller. A record of
+        an earlier version has none: then it is the time at which this controller first saw it.
+        """
+        if job_id not in self._ready_wall_time:
+            recorded = self._replica.dependencies.ready_wall_time(job_id)
+            self._ready_wall_time[job_id] = (
+                recorded if recorded is not None else self._runtime.wall_time
+            )
 
     def forget(self, job_id: str) -> None:
         """Drop the state of a job that has ended."""
@@ -73,7 +81,8 @@
 
     def waiting_since(self, job: Job) -> float:
         """Return the time of day (s) since which the job is ready and waits for placement."""
-        return self._ready_wall_time.get(job.id, job.submitted_wall_time)
+        submitted_wall_time = job.submitted_wall_time
+        return max(submitted_wall_time, self._ready_wall_time.get(job.id, submitted_wall_time))
 
     def sort_key(self, job: Job) -> QueueSortKey:
         """Return the job's sort key: guarantee, rank, missed limits, then remaining work or age.
--- a/appledock/core/store/replica.py
+++ b/appledock/core/store/replica.py
@@ -15,6 +15,7 @@
 from appledock import constants
 from appledock.core.records.capacity import CAPACITY_PREFIX, CapacityRecords
 from appledock.core.records.dependencies import DependencyGraph
+from appledock.core.records.final_record import decode_final_record
 from appledock.core.records.job import Attempt, Job, decode_job
 from appledock.core.records.membership_view import Member, View
 from appledock.core.records.team_allocation import TeamAllocation
@@ -63,6 +64,8 @@
         """Id -> open job."""
         self.final_states: OrderedDict[str, str] = OrderedDict()
         """Job that has ended -> its final state; only the `FINAL_STATE_CACHE_MAX` latest ones."""
+        self.ended_wall_times: dict[str, float] = {}
+        """Job in `final_states` -> time of day of its end, in seconds, if its record has one."""
         self.allocations: dict[str, TeamAllocation] = {}
         """Team -> allocation of its quota."""
         self.members: dict[str, Member] = {}
@@ -101,7 +104,8 @@
                 lambda: self.jobs,
             ),
             FINAL_PREFIX: RecordHandler(
-                lambda _name: 0, lambda name, value, _: self.add_final_state(name, value["state"])
+                lambda _name: 0,
+                lambda name, value, _: self.add_final_state(name, *decode_final_record(value)),
             ),
             MEMBERS_PREFIX: RecordHandler(
                 lambda name: self.members[name].version if name in self.members else 0,
@@ -198,12 +202,17 @@
         if job.version > self._newest_version(key, self._handlers[JOBS_PREFIX], job.id):
             self._store_job(job)
 
-    def add_final_state(self, job_id: str, state: str) -> None:
-        """Store the final state of a job that has ended."""
+    def add_final_state(
+        self, job_id: str, state: str, ended_wall_time: float | None = None
+    ) -> None:
+        """Store how and, if it is known, when a job has ended."""
         self.final_states[job_id] = state
+        if ended_wall_time is not None:
+            self.ended_wall_times[job_id] = ended_wall_time
         if len(self.final_states) > constants.FINAL_STATE_CACHE_MAX:
-            self.final_states.popitem(last=False)
-        self.dependencies.on_job_ended(job_id, state)
+            oldest, _ = self.final_states.popitem(last=False)
+            self.ended_wall_times.pop(oldest, None)
+        self.dependencies.on_job_ended(job_id, state, ended_wall_time)
         self._apply_dependency_changes()
 
     def load(self, rows: list[Row], revision: int) -> None:
@@ -286,7 +295,7 @@
         job.seal()
         self._index_attempts(job.id, old, job)
         self.jobs_by_team.setdefault(job.spec.team, set()).add(job.id)
-        self.dependencies.on_job_recorded(job, self.jobs, self.final_states)
+        self.dependencies.on_job_recorded(job, self.jobs, self.final_states, self.ended_wall_times)
         self._update_queued(job)
         if job.cancelled:
             self.cancelled_jobs.add(job.id)
--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -328,7 +328,7 @@
         replica.put(key, value, 7)
         kind, _, name = key.removeprefix(self.key_prefix("LIVE")).partition("/")
         if key.startswith(self.key_prefix("FINAL")):
-            return {"state": self.final_states(replica)[key.removeprefix(self.key_prefix("FINAL"))]}
+            return self.final_record(replica, key.removeprefix(self.key_prefix("FINAL")))
         if kind == "jobs":
             return self._plain(self.encode_job(replica.jobs[name], format_))
         if kind == "teams":
@@ -355,6 +355,10 @@
         """Job -> how it ended."""
         return replica.finals
 
+    def final_record(self, replica: Any, job: str) -> dict[str, Any]:
+        """What this version keeps of the final record of a job."""
+        return {"state": self.final_states(replica)[job]}
+
     def single_record(self, replica: Any, kind: str) -> Any:
         """The value of a record of which there is one."""
         return {
@@ -626,6 +630,11 @@
     def final_states(self, replica: Any) -> Any:
         return replica.final_states
 
+    def final_record(self, replica: Any, job: str) -> dict[str, Any]:
+        record = super().final_record(replica, job)
+        ended_wall_time = replica.ended_wall_times.get(job)
+        return record if ended_wall_time is None else {**record, "at": ended_wall_time}
+
     def single_record(self, replica: Any, kind: str) -> Any:
         return {
             "catalogue": {"types": replica.catalogue.value},
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -27,7 +27,7 @@
     "cancelled",
     "pulse",
 }
-ADDED: set[str] = set()
+ADDED = {"final [].at:number"}
 """fields that the present code writes and the served head did not, as `paths` names them,
 with the kind of record or message before them: each one is decided on, none slips in"""
 
@@ -117,6 +117,13 @@
             assert names(kind, rows) - names(kind, known) - ADDED == set()
 
 
+@pytest.mark.parametrize("version", VERSIONS)
+def test_earlier_versions_read_a_final_record_with_its_time(version: str) -> None:
+    key, record = "ad/final/job-1", {"state": "done", "at": 12.5}
+    assert present().rewrite(key, record) == record
+    assert VERSIONS[version]().rewrite(key, record) == {"state": "done"}
+
+
 # --- messages ----------------------------------------------------------------
 class Told:
     """Three controllers of the present version, which hear of something."""
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -16,7 +16,7 @@
 from tests.standins.world import World
 
 TASK_CORES = 2.0
-LIMIT_HELD_S = 14.0
+LIMIT_HELD_S = 25.0
 """run time of the tasks that hold a team's whole limit during the restarts"""
 RESTART_S = 5.0
 """time from a controller's crash to its return"""
@@ -93,30 +93,54 @@
         for team in self.teams:
             for _ in range(self.pairs):
                 needs = [prerequisites[team]]
-                self.dependents.append(self.submit(team, self.limit_tasks(team), 2.0, needs))
+                self.dependents.append(self.submit_waiting(team, needs))
         self._run_until(lambda: all(job in judge.final for job in prerequisites.values()))
         clock.run(clock.now + 1.0)
         for team in self.teams:
             for _ in range(self.pairs):
-                self.successors.append(self.submit(team, self.limit_tasks(team), 2.0, []))
+                self.successors.append(self.submit_waiting(team))
         waiting = self.dependents + self.successors
         self._run_until(lambda: all(job in judge.accepted for job in waiting))
 
     def finish(self) -> None:
-        """Let the rule hold from `SETTLED_S` after now on, until a wait would have broken it."""
+        """Let the rule hold from `SETTLED_S` after now on.
+
+        Return once all jobs are done, or once a wait since then has broken the rule.
+        """
         clock = self.world.clock
         clock.run(clock.now + SETTLED_S)
         self.world.peace()
-        clock.run(clock.now + WAIT_LIMIT_S + 10.0)
+        end = clock.now + WAIT_LIMIT_S + 10.0
+        while clock.now < end and self.world.unfinished():
+            clock.run(clock.now + 1.0)
+
+    def restart_in_turn(self, names: list[str]) -> None:
+        """Crash these controllers one after the other; each returns after `RESTART_S`.
 
-    def restart_in_turn(self, names: list[str], code: dict[str, Code] | None = None) -> None:
-        """Crash these controllers one after the other; each returns after `RESTART_S`."""
+        After each return every team submits one more job.
+        """
         clock = self.world.clock
         for name in names:
-            node = self.world.nodes[name]
-            node.code = (code or {}).get(name, node.code)
-            node.crash(RESTART_S)
+            self.world.nodes[name].crash(RESTART_S)
             clock.run(clock.now + RESTART_INTERVAL_S)
+            self.successors += [self.submit_waiting(team) for team in self.teams]
+
+    def submit_waiting(self, team: str, needs: list[str] | None = None) -> str:
+        """Submit a job that could take the team's whole limit."""
+        return self.submit(team, self.limit_tasks(team), 2.0, needs or [])
+
+    def draw_restarts(self, seconds: float) -> None:
+        """Crash drawn controllers at drawn times, and submit jobs between, some of them chained."""
+        clock, rng = self.world.clock, self.world.clock.rng
+        end = clock.now + seconds
+        while clock.now < end:
+            clock.run(clock.now + 1.0 + 4.0 * rng.random())
+            names = self.world.names if rng.random() < 0.2 else [rng.choice(self.world.names)]
+            for name in names:
+                self.world.nodes[name].crash(rng.choice([0.2, RESTART_S]))
+            team = rng.choice(self.teams)
+            needs = [rng.choice(self.dependents)] if rng.random() < 0.5 else []
+            self.successors.append(self.submit_waiting(team, needs))
 
     def _run_until(self, is_reached: Any) -> None:
         """Let time pass until the condition holds."""
@@ -147,3 +171,31 @@
     history = waiting_history(seed, pairs=4)
     history.finish()
     assert_rules_hold(history)
+
+
+RESTARTS: dict[str, list[str]] = {
+    "n0": ["n0"],
+    "n1": ["n1"],
+    "n2": ["n2"],
+    "all": ["n0", "n1", "n2"],
+    "all-reversed": ["n2", "n1", "n0"],
+}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("restarted", RESTARTS)
+def test_no_job_waits_for_its_limit_after_controllers_restart(seed: int, restarted: str) -> None:
+    """Guards against two jobs of a team that leave the limit to each other (review/1)."""
+    history = waiting_history(seed, pairs=4)
+    history.restart_in_turn(RESTARTS[restarted])
+    history.finish()
+    assert_rules_hold(history)
+
+
+@pytest.mark.parametrize("seed", range(1, 11))
+def test_no_job_waits_for_its_limit_after_drawn_restarts(seed: int) -> None:
+    """Guards against the same in histories that nobody has arranged."""
+    history = waiting_history(seed, pairs=2)
+    history.draw_restarts(LIMIT_HELD_S)
+    history.finish()
+    assert_rules_hold(history)
--- a/tests/unit/scheduling/test_queue_order.py
+++ b/tests/unit/scheduling/test_queue_order.py
@@ -9,6 +9,7 @@
 from appledock.core.runtime import Runtime
 from appledock.core.scheduling.objectives import ServiceLevelObjectives
 from appledock.core.scheduling.queue_order import AGEING_PRECEDENCE, GuaranteeClass, QueueOrder
+from appledock.core.store.keys import FINAL_PREFIX
 from appledock.core.store.replica import Replica
 from appledock.settings import Objective
 from tests.test_requests import settings, spec
@@ -66,3 +67,31 @@
     assert keys == sorted(keys)
     assert [key.missed_limits for key in keys] == [0, 0, 1, 2]
     assert keys[3].tie_break == too_late.submitted_wall_time  # by age, since no limit can be met
+
+
+def order_with_dependent(*final_records: dict[str, object]) -> tuple[QueueOrder, Job]:
+    """An order that has seen the ends of a job's dependencies, and that job."""
+    order = queue_order(GuaranteedQuota())
+    needs = [f"job-{number}" for number in range(10, 10 + len(final_records))]
+    dependent = job("job-1", submitted=900.0, tethers=needs)
+    dependent.version = 5
+    order._replica.set_job(dependent)
+    for number, record in zip(needs, final_records, strict=True):
+        order._replica.put(FINAL_PREFIX + number, record, 6)
+    order.on_dependencies_met("job-1")
+    return order, dependent
+
+
+def test_a_job_waits_since_the_recorded_end_of_its_last_dependency() -> None:
+    """Not since this process has seen it: another one would have seen it at another time."""
+    order, dependent = order_with_dependent(
+        {"state": "done", "at": 950.25}, {"state": "done", "at": 940.0}
+    )
+    assert order.waiting_since(dependent) == 950.25
+    order, dependent = order_with_dependent({"state": "done", "at": 880.0})
+    assert order.waiting_since(dependent) == dependent.submitted_wall_time
+
+
+def test_without_a_recorded_end_a_job_waits_since_this_controller_saw_it() -> None:
+    order, dependent = order_with_dependent({"state": "done", "at": 950.0}, {"state": "done"})
+    assert order.waiting_since(dependent) == 1000.0
