A controller leaves a team's limit to another one's job for 15 s at most

Cause: the deferral has no end and no message. The order depends on more than the stored times: writes without an answer (guarantee class), clocks, settings files, final records of earlier versions, and other versions.

Change: if a job takes nothing of what is left to it for 15 s, though it could make a step and a machine has room for a job behind it, the controller serves its own jobs of that team first for 15 s. Steps stay conditional on the team's record, so the limit holds. A gang for which the limit is collected is not passed. `limits_untaken` in `metrics` and the line `team limit left untaken` tell it; nothing is stored or sent.

Mixed cluster: of two controllers that differ one must be new. Two of an earlier version still wait for each other until one is replaced.

--- a/appledock/app.py
+++ b/appledock/app.py
@@ -165,7 +165,7 @@
                         "conflicts": self.engine.client.conflicts,
                         "refusals": self.engine.client.refusals,
                         "moves": self.engine.moves.outcomes,
-                        "limits_untaken_s": self.engine.quota_allocation.longest_deferrals(),
+                        "limits_untaken": self.engine.quota_allocation.deferral_summary(),
                         "connections": {
                             "open": len(self.server.connections),
                             "most": self.server.max_connections,
--- a/appledock/constants.py
+++ b/appledock/constants.py
@@ -271,8 +271,8 @@
 
 LIMIT_DEFERRAL_MAX_S = 15.0
 """s; how long a part of a team's limit is left to a job of another controller that does not take
-it. A step waits for its write for up to `STEP_QUEUE_TIMEOUT_S`, and no job may be left waiting for
-90 s."""
+it, and how long the controller then serves its own jobs first. A step waits for its write for up to
+`STEP_QUEUE_TIMEOUT_S`, and no job may be left waiting for 90 s."""
 LIMIT_DEFERRAL_GAP_MAX_S = 5.0
 """s; a wait for another controller's job has ended if it was not noticed again for this long.
 Placement passes are at most `JOB_SWEEP_INTERVAL_S` apart."""
--- a/appledock/core/quota/admission.py
+++ b/appledock/core/quota/admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -27,19 +27,25 @@
     releasable: Resources
     """unused part of this controller's allocation that more urgent jobs of others need"""
     preceding: tuple[str, ...] = ()
-    """jobs of other controllers for which this controller leaves a part of the limit, in order"""
+    """jobs of other controllers that could make a step with what this controller leaves to them,
+    in the order of the queue"""
     deferred: Mapping[str, int] = field(default_factory=dict)
     """job of this controller that could make a step if the first so many jobs of `preceding` took
     nothing -> their number"""
 
 
+def no_known_step(_job_id: str) -> Resources:
+    """Return no resources as the next step of a job: deferrals are not told."""
+    return NO_RESOURCES
+
+
 def admit_queue(
     limit: Resources,
     allocated: Mapping[str, Resources],
     held: Mapping[str, Resources],
     node: str,
     queue: Iterable[QueuedDemand],
-    next_steps: Mapping[str, Resources] | None = None,
+    next_step: Callable[[str], Resources] = no_known_step,
 ) -> Admission:
     """Decide what the jobs of `node` may take, as if a single queue shared the whole limit.
 
@@ -53,17 +59,15 @@
         held: controller -> what the jobs that it owns hold
         node: the controller that decides
         queue: demand of the team's queued jobs, the most urgent first
-        next_steps: queued job of `node` -> the least that its next step takes: one task, or all
-            tasks of a gang. `Admission.deferred` contains only jobs that are named here.
+        next_step: returns the least that the next step of a job takes: one task, or a whole gang
     """
     unallocated = limit.excess_over(total(allocated.values()))
     unused = {
         owner: part.excess_over(held.get(owner, NO_RESOURCES)) for owner, part in allocated.items()
     }
     admitted: dict[str, Resources] = {}
-    releasable = left_to_others = NO_RESOURCES
-    preceding: list[str] = []
-    deferred: dict[str, int] = {}
+    releasable = NO_RESOURCES
+    deferrals = _Deferrals(next_step)
     for job_id, owner, demand in queue:
         from_owner = demand.minimum(unused.get(owner, NO_RESOURCES))
         unused[owner] = unused.get(owner, NO_RESOURCES) - from_owner
@@ -72,14 +76,39 @@
         granted = from_owner + from_unallocated
         if owner == node:
             admitted[job_id] = granted
-            next_step = (next_steps or {}).get(job_id, NO_RESOURCES)
-            if not next_step.fits_in(granted) and next_step.fits_in(granted + left_to_others):
-                deferred[job_id] = len(preceding)
-            continue
-        released = (demand - granted).minimum(unused.get(node, NO_RESOURCES))
-        unused[node] = unused.get(node, NO_RESOURCES) - released
-        releasable = releasable + released
-        if (from_unallocated + released).is_positive():
-            left_to_others = left_to_others + from_unallocated + released
-            preceding.append(job_id)
-    return Admission(admitted, releasable, tuple(preceding), deferred)
+            deferrals.add_own(job_id, granted)
+        else:
+            released = (demand - granted).minimum(unused.get(node, NO_RESOURCES))
+            unused[node] = unused.get(node, NO_RESOURCES) - released
+            releasable = releasable + released
+            deferrals.add_other(job_id, from_owner, from_unallocated + released)
+    return Admission(admitted, releasable, tuple(deferrals.preceding), deferrals.deferred)
+
+
+class _Deferrals:
+    """Finds the jobs of a controller that others keep from a step, along the walk of the queue."""
+
+    def __init__(self, next_step: Callable[[str], Resources]) -> None:
+        self._next_step = next_step
+        self._left = NO_RESOURCES
+        """what the jobs in `preceding` may take although this controller could"""
+        self.preceding: list[str] = []
+        self.deferred: dict[str, int] = {}
+
+    def add_other(self, job_id: str, from_owner: Resources, left: Resources) -> None:
+        """Note a job of another controller, for which `left` is left by this one.
+
+        A job for which that is too little for a step does not count: it cannot take it yet, such
+        as a gang for which the limit is being collected.
+        """
+        if left.is_positive() and self._next_step(job_id).fits_in(from_owner + left):
+            self._left = self._left + left
+            self.preceding.append(job_id)
+
+    def add_own(self, job_id: str, granted: Resources) -> None:
+        """Note a job of this controller if it lacks only what the jobs before it may take."""
+        if not self.preceding:
+            return
+        next_step = self._next_step(job_id)
+        if not next_step.fits_in(granted) and next_step.fits_in(granted + self._left):
+            self.deferred[job_id] = len(self.preceding)
--- a/appledock/core/quota/allocation.py
+++ b/appledock/core/quota/allocation.py
@@ -155,14 +155,13 @@
             limits = self._runtime.teams.get(team)
             if limits is None or not self.is_record_current(team):
                 return Admission({}, NO_RESOURCES)
-            queue = self._queue(team)
             admission = self._admissions[team] = admit_queue(
                 limit_of(limits),
                 self.allocated(team),
                 self._usage.held_by_node(team),
                 self._runtime.node,
-                queue,
-                self._next_steps(queue),
+                self._queue(team),
+                self._next_step,
             )
         return admission
 
@@ -173,10 +172,12 @@
             replica.jobs[job_id]
             for job_id in replica.jobs_by_team.get(team, set()) & replica.queued_jobs
         ]
+        own_jobs_first = self._deferrals.serves_own_jobs_first(team, self._runtime.now)
         # Jobs that keep failing come last, so that they do not use up the limit of the others.
         jobs.sort(
             key=lambda job: (
                 job.consecutive_failures >= constants.DEPRIORITIZED_JOB_FAILURES_MIN,
+                own_jobs_first and not replica.owns_job(self._runtime.node, job),
                 self._job_order.sort_key(job),
                 job.id,
             )
@@ -186,18 +187,10 @@
             for job in jobs
         ]
 
-    def _next_steps(self, queue: list[QueuedDemand]) -> dict[str, Resources]:
-        """Return the least that the next step of each queued job of this controller takes."""
-        specs = {
-            job_id: self._replica.jobs[job_id].spec
-            for job_id, owner, _ in queue
-            if owner == self._runtime.node
-        }
-        return {
-            job_id: demand if specs[job_id].gang else demand_of(specs[job_id], 1)
-            for job_id, _, demand in queue
-            if job_id in specs
-        }
+    def _next_step(self, job_id: str) -> Resources:
+        """Return the least that the next step of a queued job takes."""
+        job = self._replica.jobs[job_id]
+        return demand_of(job.spec, job.queued_task_count if job.spec.gang else 1)
 
     # --- what is left to other controllers -----------------------------------
     def on_startable_job_not_admitted(self, job: Job) -> None:
@@ -222,9 +215,15 @@
             job.id, self._replica.job_owner(job), job.last_step, self._job_order.sort_key(job)
         )
 
-    def longest_deferrals(self) -> dict[str, float]:
-        """Return for how long (s) a part of each team's limit has been left and not taken."""
-        return self._deferrals.longest_by_team(self._runtime.now)
+    def deferral_summary(self) -> dict[str, object]:
+        """Return for how long (s) a part of each team's limit has been left and not taken.
+
+        `ended` is the number of times, since the start, that it was then not left any longer.
+        """
+        return {
+            "longest_s": self._deferrals.longest_by_team(self._runtime.now),
+            "ended": self._deferrals.ended_count,
+        }
 
     # --- planning ---------------------------------------------------------
     def plan(self, job: Job, new: Job, new_owner: str) -> RecordPlan:
--- a/tests/standins/versions.py
+++ b/tests/standins/versions.py
@@ -30,6 +30,7 @@
 SERVED = "145af75fd13d081803f0788ac576e1481599394e"
 """the last head of `main` that served users: its records stay readable for ever"""
 BASELINE = "56285b0"
+BEFORE_SHARED_ORDER = "140e181"
 """the commit whose effects the present code has to repeat while it is refactored"""
 
 
@@ -660,6 +661,12 @@
     return _load(SERVED, Code, "served")
 
 
+@cache
+def before_shared_order() -> Code:
+    """The last version whose controllers order a queue by times that each takes by itself."""
+    return _load(BEFORE_SHARED_ORDER, PresentCode, "before shared order")
+
+
 @cache
 def baseline() -> Code:
     """The code with which the refactoring began."""
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -6,13 +6,17 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
 
+from appledock.core.records.job import Job
+from appledock.core.scheduling.queue_order import GuaranteeClass, QueueSortKey
 from tests.standins import deployment
-from tests.standins.versions import Code
+from tests.standins.node import Node
+from tests.standins.versions import Code, before_shared_order, present
 from tests.standins.world import World
 
 TASK_CORES = 2.0
@@ -199,3 +203,45 @@
     history.draw_restarts(LIMIT_HELD_S)
     history.finish()
     assert_rules_hold(history)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_job_waits_for_its_limit_after_each_controller_orders_it_differently(seed: int) -> None:
+    """Guards against any other cause for which controllers order a queue differently."""
+    history = waiting_history(seed, pairs=2)
+    for node in history.world.nodes.values():
+        order_by_name(node)
+    history.finish()
+    assert_rules_hold(history)
+
+
+def order_by_name(node: Node) -> None:
+    """Make the controller order each queue in an order of its own, until it restarts."""
+
+    def sort_key(job: Job) -> QueueSortKey:
+        digest = hashlib.sha256(f"{node.name}/{job.id}".encode()).digest()
+        return QueueSortKey(GuaranteeClass.WITHIN_GUARANTEE, 0, 0, float(digest[0]))
+
+    node.engine.queue_order.sort_key = sort_key
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_job_waits_for_its_limit_after_a_rolling_upgrade(seed: int) -> None:
+    """Ends that the earlier version recorded have no time, so orders differ until they have run."""
+    history = waiting_history(seed, pairs=4, code=before_shared_order())
+    for node in history.world.nodes.values():
+        node.code = present()
+    history.restart_in_turn(["n0", "n1", "n2"])
+    history.finish()
+    assert_rules_hold(history)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_job_waits_for_its_limit_beside_a_controller_of_the_earlier_version(seed: int) -> None:
+    """Two of three controllers are new: of any two that differ, one is bound to go ahead."""
+    history = waiting_history(seed, pairs=4, code=before_shared_order())
+    for name in ("n1", "n2"):
+        history.world.nodes[name].code = present()
+    history.restart_in_turn(["n1", "n2", "n0"])
+    history.finish()
+    assert_rules_hold(history)
