A job may take again what its own unanswered write holds of the team's limit

What callers saw: a job waits for ever with "team limit" after one lost request to the store, with the limit unused and machines free, until the view changes.

Cause: a write without an answer counts as executed until the job's version changes, and only the job's next write changes it. `plan` leaves the job's own write out, `admitted_tasks` did not, so the next write was never planned if the lost one might hold all that the controller had left.

Change: `admitted_tasks` adds what the job's own unanswered write holds of this controller's allocation. Both writes are conditional on one version, so at most one is executed; `plan` checks the limit as before.

--- a/appledock/core/quota/allocation.py
+++ b/appledock/core/quota/allocation.py
@@ -142,7 +142,22 @@
         """
         admitted = self._admit(job.spec.team).admitted.get(job.id, NO_RESOURCES)
         settled = reservation_of(job).excess_over(reservation_of(new))
-        return (admitted + settled).count_tasks(job.spec)
+        return (admitted + settled + self._withheld_by_unanswered_write(job)).count_tasks(job.spec)
+
+    def _withheld_by_unanswered_write(self, job: Job) -> Resources:
+        """Return what of this controller's allocation a write of the job without an answer holds.
+
+        The job's next write is conditional on the same version of its record, so at most one of
+        the two is executed, and the job may take this part again. Otherwise a write that was lost
+        would hold the limit for ever: only the job's next write shows that it is void.
+        """
+        held_by_write = self._usage.held_by_job(job).excess_over(reservation_of(job))
+        if not held_by_write.is_positive():
+            return NO_RESOURCES
+        team, node = job.spec.team, self._runtime.node
+        allocated = self.allocated(team).get(node, NO_RESOURCES)
+        held = self._usage.held_by_node(team).get(node, NO_RESOURCES)
+        return allocated.excess_over(held - held_by_write) - allocated.excess_over(held)
 
     def releasable(self, team: str) -> Resources:
         """Return the unused allocation here that more urgent jobs of other controllers need."""
--- a/tests/test_limit_sharing.py
+++ b/tests/test_limit_sharing.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import hashlib
+import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -14,8 +16,9 @@
 
 from appledock.core.records.job import Job
 from appledock.core.scheduling.queue_order import GuaranteeClass, QueueSortKey
+from appledock.core.store.keys import JOBS_PREFIX
 from tests.standins import deployment
-from tests.standins.node import Node
+from tests.standins.node import Answer, Node
 from tests.standins.versions import Code, before_shared_order, present
 from tests.standins.world import World
 
@@ -93,18 +96,18 @@
         prerequisites = {team: self.submit(team, 1, 1.0, []) for team in self.teams}
         for team in self.teams:
             self.submit(team, self.limit_tasks(team), LIMIT_HELD_S, [])
-        self._run_until(lambda: all(job in judge.accepted for job in prerequisites.values()))
+        self.run_until(lambda: all(job in judge.accepted for job in prerequisites.values()))
         for team in self.teams:
             for _ in range(self.pairs):
                 needs = [prerequisites[team]]
                 self.dependents.append(self.submit_waiting(team, needs))
-        self._run_until(lambda: all(job in judge.final for job in prerequisites.values()))
+        self.run_until(lambda: all(job in judge.final for job in prerequisites.values()))
         clock.run(clock.now + 1.0)
         for team in self.teams:
             for _ in range(self.pairs):
                 self.successors.append(self.submit_waiting(team))
         waiting = self.dependents + self.successors
-        self._run_until(lambda: all(job in judge.accepted for job in waiting))
+        self.run_until(lambda: all(job in judge.accepted for job in waiting))
 
     def finish(self) -> None:
         """Let the rule hold from `SETTLED_S` after now on.
@@ -146,7 +149,7 @@
             needs = [rng.choice(self.dependents)] if rng.random() < 0.5 else []
             self.successors.append(self.submit_waiting(team, needs))
 
-    def _run_until(self, is_reached: Any) -> None:
+    def run_until(self, is_reached: Callable[[], bool]) -> None:
         """Let time pass until the condition holds."""
         clock = self.world.clock
         while not is_reached():
@@ -245,3 +248,40 @@
     history.restart_in_turn(["n1", "n2", "n0"])
     history.finish()
     assert_rules_hold(history)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_no_job_waits_for_its_limit_after_the_write_of_its_step_was_lost(seed: int) -> None:
+    """Guards against a lost write that holds the limit for the very job that it was to start."""
+    world = World(seed)
+    world.clock.run(6.0)
+    history = LimitHistory(world, pairs=0)
+    for team in history.teams:
+        history.submit_waiting(team)
+    history.run_until(lambda: len(world.judge.final) == len(history.teams))
+    lost = lose_first_step_writes(world)
+    jobs = [history.submit_waiting(team) for team in history.teams]
+    history.finish()
+    assert lost == set(jobs)
+    assert_rules_hold(history)
+
+
+def lose_first_step_writes(world: World) -> set[str]:
+    """Let the first step of each job get lost on its way to the store; return the jobs so far."""
+    lost: set[str] = set()
+    request = world.state.request
+
+    def lose_or_pass_on(node: str, method: str, path: str, body: bytes, answer: Answer) -> None:
+        writes = json.loads(body)["writes"] if path == "/txn" else []
+        jobs = {
+            write["set"].removeprefix(JOBS_PREFIX)
+            for write in writes
+            if write.get("set", "").startswith(JOBS_PREFIX) and write["data"]["steps"] == 1
+        }
+        if jobs - lost:
+            lost.update(jobs)
+        else:
+            request(node, method, path, body, answer)
+
+    world.state.request = lose_or_pass_on  # type: ignore[method-assign]
+    return lost
--- a/tests/unit/quota/test_allocation.py
+++ b/tests/unit/quota/test_allocation.py
@@ -13,7 +13,7 @@
 from appledock.core.runtime import Runtime
 from appledock.core.store.keys import TEAMS_PREFIX, VIEW_KEY
 from appledock.core.store.replica import Replica
-from appledock.core.store_calls import Committed
+from appledock.core.store_calls import Committed, UnknownOutcome
 from tests.standins.deployment import settings
 from tests.test_requests import spec
 
@@ -90,3 +90,30 @@
     write.finish(Committed(3))
     allocation.on_record_committed("red", change.record, 3)
     assert allocation.plan(job, started(job, 9), "n0") == NoRecordChange()
+
+
+def test_a_job_may_take_again_what_a_write_of_it_without_an_answer_holds(
+    replica: Replica, allocation: QuotaAllocation
+) -> None:
+    """Of the two writes, conditional on one version, at most one is executed."""
+    replica.put(TEAMS_PREFIX + "red", {"term": 1, "shares": {"n0": [6, 0], "n1": [18, 0]}}, 3)
+    replica.advance(3)
+    job, other = add_job(replica, 1, 6), add_job(replica, 2, 6)
+    allocation.begin_job_write(job, started(job, 6), None).finish(UnknownOutcome())
+    assert allocation.admitted_tasks(job, job) == 6
+    assert allocation.plan(job, started(job, 6), "n0") == NoRecordChange()
+    assert allocation.admitted_tasks(other, other) == 0
+
+
+def test_a_lost_raise_of_the_allocation_does_not_count_twice(
+    replica: Replica, allocation: QuotaAllocation
+) -> None:
+    """The write would have raised the allocation from 6 to 12, all that n1 has left over."""
+    job = add_job(replica, 1, 20)
+    new = started(job, 12)
+    change = allocation.plan(job, new, "n0")
+    assert isinstance(change, RecordChange)
+    allocation.begin_job_write(job, new, change.record).finish(UnknownOutcome())
+    tasks = allocation.admitted_tasks(job, job)
+    assert tasks == 12
+    assert isinstance(allocation.plan(job, started(job, tasks), "n0"), RecordChange)
