Limit deferrals: one observation a team and pass, the log line beside its cause

Cause: every job that could start named all jobs before it, each with its sort key, in every placement pass; with long queues that is a product of both, and the keys are needed for the log line alone. Three modules knew what a preceding job is.

Change: `LimitDeferrals` gets clock, replica and order, notes one observation a team and pass (the first job has the fewest jobs before it), and computes sort keys when it logs. `JobOrder` has a module of its own, the summary for `metrics` a type. What is decided is the same.

--- a/appledock/core/quota/allocation.py
+++ b/appledock/core/quota/allocation.py
@@ -19,11 +19,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
 
 from appledock import constants
 from appledock.core.quota.admission import Admission, QueuedDemand, admit_queue
-from appledock.core.quota.deferrals import LimitDeferrals, PrecedingJob
+from appledock.core.quota.deferrals import DeferralSummary, LimitDeferrals
+from appledock.core.quota.job_order import JobOrder
 from appledock.core.quota.record_plan import (
     NoRecordChange,
     RecordChange,
@@ -52,13 +52,6 @@
 from appledock.core.store_calls import StoreOutcome
 
 
-class JobOrder(Protocol):
-    """Order in which queued jobs are served."""
-
-    def sort_key(self, job: Job) -> tuple[float, ...]:
-        """Return the job's sort key; the most urgent job has the smallest key."""
-
-
 class QuotaAllocation:
     """This controller's allocations of the teams' limits, and the changes of the teams' records.
 
@@ -79,7 +72,7 @@
         """team -> version of its record that this controller wrote, based on a current record"""
         self._teams_being_written: set[str] = set()
         self._admissions: dict[str, Admission] = {}
-        self._deferrals = LimitDeferrals()
+        self._deferrals = LimitDeferrals(runtime, replica, job_order)
 
     @property
     def term(self) -> int:
@@ -187,7 +180,7 @@
             replica.jobs[job_id]
             for job_id in replica.jobs_by_team.get(team, set()) & replica.queued_jobs
         ]
-        own_jobs_first = self._deferrals.serves_own_jobs_first(team, self._runtime.now)
+        own_jobs_first = self._deferrals.serves_own_jobs_first(team)
         # Jobs that keep failing come last, so that they do not use up the limit of the others.
         jobs.sort(
             key=lambda job: (
@@ -217,28 +210,11 @@
         admission = self._admit(job.spec.team)
         preceding = admission.preceding[: admission.deferred.get(job.id, 0)]
         if preceding:
-            self._deferrals.observe(
-                job.spec.team,
-                job.id,
-                self._job_order.sort_key(job),
-                [self._preceding_job(self._replica.jobs[job_id]) for job_id in preceding],
-                self._runtime.now,
-            )
+            self._deferrals.observe(job, preceding)
 
-    def _preceding_job(self, job: Job) -> PrecedingJob:
-        return PrecedingJob(
-            job.id, self._replica.job_owner(job), job.last_step, self._job_order.sort_key(job)
-        )
-
-    def deferral_summary(self) -> dict[str, object]:
-        """Return for how long (s) a part of each team's limit has been left and not taken.
-
-        `ended` is the number of times, since the start, that it was then not left any longer.
-        """
-        return {
-            "longest_s": self._deferrals.longest_by_team(self._runtime.now),
-            "ended": self._deferrals.ended_count,
-        }
+    def deferral_summary(self) -> DeferralSummary:
+        """Return for how long a part of each team's limit has been left and not taken."""
+        return self._deferrals.summary()
 
     # --- planning ---------------------------------------------------------
     def plan(self, job: Job, new: Job, new_owner: str) -> RecordPlan:
--- a/appledock/core/quota/deferrals.py
+++ b/appledock/core/quota/deferrals.py
@@ -11,113 +11,123 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import TypedDict
 
 from appledock import constants
+from appledock.core.quota.job_order import JobOrder
+from appledock.core.records.job import Job
+from appledock.core.runtime import Runtime
+from appledock.core.store.replica import Replica
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class PrecedingJob:
-    """A more urgent job of another controller, for which a part of the team's limit is left."""
+class DeferralSummary(TypedDict):
+    """What `metrics` shows of the deferrals; the keys are part of the administration API."""
 
-    job_id: str
-    owner: str
-    last_step: int
-    """number of its last step: a higher one shows that its owner has taken some of the limit"""
-    sort_key: tuple[float, ...]
-    """its place in the queue, as this controller orders it"""
+    longest_s: dict[str, float]
+    """team -> the longest time for which a job now leaves its part of the limit untaken"""
+    ended: int
+    """deferrals ended since the start, because a job did not take what was left to it"""
 
 
 @dataclass(slots=True)
 class _Wait:
-    """A preceding job that takes nothing of what is left to it."""
+    """A job of another controller that takes nothing of what is left to it."""
 
     team: str
-    owner: str
     last_step: int
+    """number of the job's last step: a higher one shows that its owner has taken some"""
     since: float
     seen_at: float
-    """time at which it was last found to precede a job that could start"""
+    """time at which the job was last found to precede one that could start"""
 
 
 class LimitDeferrals:
-    """Preceding jobs that leave their part of a team's limit untaken, and for how long."""
+    """Jobs of other controllers that leave their part of a team's limit untaken."""
 
-    def __init__(self) -> None:
+    def __init__(self, runtime: Runtime, replica: Replica, job_order: JobOrder) -> None:
+        self._runtime = runtime
+        self._replica = replica
+        self._job_order = job_order
         self._waits: dict[str, _Wait] = {}
-        """preceding job -> its wait"""
+        """job -> its wait"""
+        self._observed_at: dict[str, float] = {}
+        """team -> time of its last observation"""
         self._own_jobs_first_until: dict[str, float] = {}
         """team -> until when this controller serves its own jobs first"""
-        self.ended_count = 0
-        """deferrals ended since the start, because a job did not take what was left to it"""
+        self._ended_count = 0
 
     def clear(self) -> None:
         """Forget all waits, as jobs may have changed owners."""
         self._waits.clear()
         self._own_jobs_first_until.clear()
 
-    def serves_own_jobs_first(self, team: str, now: float) -> bool:
+    def serves_own_jobs_first(self, team: str) -> bool:
         """Return whether the team's jobs of other controllers come behind those of this one."""
-        return now < self._own_jobs_first_until.get(team, constants.DISTANT_PAST)
-
-    def observe(
-        self,
-        team: str,
-        job_id: str,
-        sort_key: tuple[float, ...],
-        preceding: list[PrecedingJob],
-        now: float,
-    ) -> None:
-        """Note that the jobs in `preceding` keep a job of this controller from starting.
-
-        To be called whenever the job `job_id` would start now if they took nothing.
+        return self._runtime.now < self._own_jobs_first_until.get(team, constants.DISTANT_PAST)
+
+    def observe(self, job: Job, preceding: Sequence[str]) -> None:
+        """Note that the jobs named in `preceding` keep a job of this controller from starting.
+
+        To be called whenever the job would start now if they took nothing. Of several such jobs of
+        a team in one placement pass the first one counts: it has the fewest jobs before it.
         """
-        self._drop_ended(now)
-        for other in preceding:
-            wait = self._waits.get(other.job_id)
-            if wait is None or wait.last_step != other.last_step:
-                wait = _Wait(team, other.owner, other.last_step, now, now)
-                self._waits[other.job_id] = wait
-            wait.seen_at = now
-            if now - wait.since >= constants.LIMIT_DEFERRAL_MAX_S:
-                self._end_deferral(team, other.job_id, now)
-                log.info(
-                    "team limit left untaken: team=%s job=%s owner=%s key=%s "
-                    "deferred_job=%s deferred_key=%s for_s=%.1f",
-                    team,
-                    other.job_id,
-                    other.owner,
-                    _format_key(other.sort_key),
-                    job_id,
-                    _format_key(sort_key),
-                    now - wait.since,
-                )
-
-    def _end_deferral(self, team: str, job_id: str, now: float) -> None:
-        self._own_jobs_first_until[team] = now + constants.LIMIT_DEFERRAL_MAX_S
-        self.ended_count += 1
-        del self._waits[job_id]
-
-    def _drop_ended(self, now: float) -> None:
+        team, now = job.spec.team, self._runtime.now
+        if self._observed_at.get(team) == now:
+            return
+        self._observed_at[team] = now
+        self._drop_ended()
+        for name in preceding:
+            other = self._replica.jobs[name]
+            if self._note(other) >= constants.LIMIT_DEFERRAL_MAX_S:
+                self._end_deferral(other, job)
+
+    def _note(self, other: Job) -> float:
+        """Note the job's wait, and return for how long (s) it has lasted."""
+        now = self._runtime.now
+        wait = self._waits.get(other.id)
+        if wait is None or wait.last_step != other.last_step:
+            wait = self._waits[other.id] = _Wait(other.spec.team, other.last_step, now, now)
+        wait.seen_at = now
+        return now - wait.since
+
+    def _end_deferral(self, other: Job, deferred: Job) -> None:
+        now = self._runtime.now
+        wait = self._waits.pop(other.id)
+        self._own_jobs_first_until[wait.team] = now + constants.LIMIT_DEFERRAL_MAX_S
+        self._ended_count += 1
+        log.info(
+            "team limit left untaken: team=%s job=%s owner=%s key=%s "
+            "deferred_job=%s deferred_key=%s for_s=%.1f",
+            wait.team,
+            other.id,
+            self._replica.job_owner(other),
+            _format_key(self._job_order.sort_key(other)),
+            deferred.id,
+            _format_key(self._job_order.sort_key(deferred)),
+            now - wait.since,
+        )
+
+    def _drop_ended(self) -> None:
         """Drop the waits of jobs that have not preceded any startable job for a while."""
+        oldest = self._runtime.now - constants.LIMIT_DEFERRAL_GAP_MAX_S
         self._waits = {
-            job_id: wait
-            for job_id, wait in self._waits.items()
-            if now - wait.seen_at <= constants.LIMIT_DEFERRAL_GAP_MAX_S
+            job_id: wait for job_id, wait in self._waits.items() if wait.seen_at >= oldest
         }
 
-    def longest_by_team(self, now: float) -> dict[str, float]:
-        """Return the longest current wait of each team that has any, in seconds."""
-        self._drop_ended(now)
-        longest: dict[str, float] = {}
+    def summary(self) -> DeferralSummary:
+        """Return what `metrics` shows."""
+        self._drop_ended()
+        longest_s: dict[str, float] = {}
         for wait in self._waits.values():
-            waited_s = round(now - wait.since, 1)
-            longest[wait.team] = max(longest.get(wait.team, 0.0), waited_s)
-        return longest
+            waited_s = round(self._runtime.now - wait.since, 1)
+            longest_s[wait.team] = max(longest_s.get(wait.team, 0.0), waited_s)
+        return DeferralSummary(longest_s=longest_s, ended=self._ended_count)
 
 
-def _format_key(sort_key: tuple[float, ...]) -> str:
+def _format_key(sort_key: Sequence[float]) -> str:
     """Return the terms of a sort key for a log line; times of day to the millisecond."""
     return ",".join(f"{term:.3f}".rstrip("0").rstrip(".") for term in sort_key)
