--- a/tests/test_at_size.py
+++ b/tests/test_at_size.py
@@ -24,7 +24,7 @@
 from appledock.settings import Settings
 from tests.standins import deployment
 from tests.standins.deployment import CANCEL_S
-from tests.standins.meetings_common import PLAIN
+from tests.standins.job_specs import ARRAY_SPEC
 from tests.standins.world import World
 from tests.test_decisions import engine, spec
 
@@ -44,7 +44,7 @@
 def array(number: int, run_s: float) -> dict[str, Any]:
     """A job whose tasks take a whole machine each."""
     return {
-        **PLAIN,
+        **ARRAY_SPEC,
         "id": f"job-{number:06d}",
         "crates": CRATES,
         "cores": 4.0,
