Tests: worlds that simultaneous jobs draw anew are chosen by their precondition

Cause: since jobs submitted in one millisecond are ordered alike at all controllers (by id, no longer by digits that only the accepting one kept).

--- a/tests/test_detached.py
+++ b/tests/test_detached.py
@@ -37,9 +37,11 @@
 
 
 def victim(world: World) -> str:
-    """The node that leads, if it owns enough machines to be missed."""
+    """The node that leads, which owns enough machines to be missed."""
     view = world.nodes["n0"].engine.replica.view
     assert view is not None
+    owned = [name for name in world.cloud.workers if view.owner_of(name) == view.leader]
+    assert len(owned) > 2, "another seed: several workers must miss the leader at once"
     return view.leader
 
 
@@ -65,7 +67,7 @@
     )
 
 
-SEEDS = {"loses_workers": 1, "stands_still": 8}
+SEEDS = {"loses_workers": 2, "stands_still": 8}
 """worlds in which the leader owns enough machines to be missed by several workers at once.
 Of ten small worlds, two or three are such for a leader that stands still, as before."""
 
@@ -88,7 +90,7 @@
 
 def test_a_detached_member_owns_again_once_workers_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(c, "DETACH_WORKERS_MIN", 2)
-    world = steady(1)
+    world = steady(SEEDS["loses_workers"])
     node = victim(world)
     loses_workers(world, node)
     world.clock.run(world.clock.now + 15.0)
@@ -148,7 +150,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """More than one only where a replica is passed on to another controller."""
-    for seed in (5, 8):
+    for seed in (2, 5):
         few = writes_of_lost(seed)
         assert min(few.values()) == 1
         # Without it, each loss is a write of its own before the step.
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -66,7 +66,7 @@
     "limit_and_leader": 8,
     "late_commands": 6,
     "late_reports": 4,
-    "late_writes": 15,
+    "late_writes": 5,
     "gap_launch": 4,
     "gap_very_second": 2,
 }
