--- a/review/lib2/sites.py
+++ b/review/lib2/sites.py
@@ -85,18 +85,3 @@
         {"kind": "guarantee", "within_s": 20.0, "share": 0.94},
     ),
 )
-
-PIRMAHAN_TITLES = Site(
-    zone="pasig-west",
-    teams={f"titles-desk-{number}": (500.0, 800.0) for number in range(6)},
-    report_s=1.0,
-    lease_s=11.0,
-    cancel_s=36.0,
-    state={"rps": 150.0, "write_rps": 30.0, "value_kb": 8.0, "txn_ops": 16},
-    cloud={"rps": 2.0, "list_lag_s": 8.0},
-    limits={"core_share": 0.36, "ram_mb": 146.0, "fd_limit": 800},
-    types=(
-        machine_type("bangka-16", "pasig-west", 16, 64, hourly=0.97, market_price=0.25, boot_s=25),
-    ),
-    boot_s=(15.0, 37.5),
-)
