review: a script that cannot load or fails otherwise exits with 2

It ended with 1, as for a broken rule, when the libraries were missing (seen in a clone without the build). A script that is ended by SIGTERM ends its controllers first.

--- a/review/lib2/bench.py
+++ b/review/lib2/bench.py
@@ -10,6 +10,7 @@
 import json
 import os
 import shlex
+import signal
 import subprocess
 import sys
 import tempfile
@@ -251,6 +252,7 @@
 
 def run(case_folder: Path, site: Site, case: Callable[[Cluster], Awaitable[bool]]) -> None:
     """Play the case and exit with 0 (held), 1 (broken) or 2 (could not run)."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # end the controllers first
     record = Record(case_folder / "record.txt")
     record.write(f"case     TROUBLE={int(TROUBLE)}")
     machines.REPORT_S, machines.LEASE_S = site.report_s, site.lease_s
@@ -269,7 +271,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             held = asyncio.run(asyncio.wait_for(play(Path(folder)), LIMIT_S))
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:  # whatever it is, it says nothing of the rule
         record.write(f"result   could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
